--- /dev/null
+++ b/src/lovagetray/_peer_messages.py
@@ -0,0 +1,98 @@
+"""Messages between instances."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+from lovagetray._types import Announcement, InstanceId, SubReply, SubRequest
+from lovagetray.state import InstanceRecord
+
+
+class AgedAnnouncement(NamedTuple):
+    """An announcement and the time since a target posted it."""
+
+    announcement: Announcement
+    age: timedelta
+
+
+class KnownTarget(NamedTuple):
+    """The newest announcement of a target that an instance holds."""
+
+    service: str
+    target: str
+    incarnation: int
+    sequence: int
+
+
+class FailureFrame(NamedTuple):
+    """A failure as code and fields."""
+
+    code: str
+    fields: dict[str, Any]
+
+
+class OutcomeFrame(NamedTuple):
+    """The outcome of one sub-request; exactly one of reply and failure is set."""
+
+    request_id: str
+    reply: SubReply | None
+    failure: FailureFrame | None
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Tells a peer that this instance is alive and what it is."""
+
+    record: InstanceRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Announced:
+    """Announcements that the receiver may not have."""
+
+    items: tuple[AgedAnnouncement, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AnnouncementDigest:
+    """What the sender holds; the receiver answers with what is newer or absent."""
+
+    known: tuple[KnownTarget, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RunSubRequests:
+    """Sub-requests for replicas that the receiver owns."""
+
+    requests: tuple[SubRequest, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SubRequestOutcomes:
+    """Outcomes of sub-requests that the receiver sent."""
+
+    outcomes: tuple[OutcomeFrame, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CancelSubRequests:
+    """Sub-requests whose outcomes are no longer wanted."""
+
+    request_ids: tuple[str, ...]
+
+
+PeerMessage = (
+    Heartbeat
+    | Announced
+    | AnnouncementDigest
+    | RunSubRequests
+    | SubRequestOutcomes
+    | CancelSubRequests
+)
+
+
+class Envelope(NamedTuple):
+    """A message and the instance that sent it."""
+
+    sender: InstanceId
+    message: PeerMessage
--- /dev/null
+++ b/src/lovagetray/_process_settings.py
@@ -0,0 +1,165 @@
+"""The INI file that tells a process its name, addresses and peers."""
+
+from configparser import ConfigParser, Error as IniError
+from ipaddress import ip_address
+from pathlib import Path
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from lovagetray._errors import InvalidSettings, SettingProblem
+from lovagetray._types import Address
+
+
+class ProcessSettings(NamedTuple):
+    """What a process learns from its own settings file.
+
+    Parameters
+    ----------
+    data_folder
+        Where the durable state lives; None on an instance without a disk.
+    voters
+        The instances that take part in votes when the system starts first.
+    operators
+        SHA-256 digests of the operators' tokens in hexadecimal, by operator.
+    """
+
+    name: str
+    data_centre: str
+    http_address: Address
+    peer_address: Address
+    data_folder: Path | None
+    peers: dict[str, Address]
+    voters: tuple[str, ...]
+    operators: dict[str, str]
+
+
+_KNOWN_KEYS = {
+    "instance": {
+        "name",
+        "data_centre",
+        "host",
+        "http_port",
+        "peer_port",
+        "data_folder",
+    },
+    "agreement": {"voters"},
+}
+_FREE_SECTIONS = {"peers", "operators"}
+_DIGEST_LENGTH = 64
+
+
+class _Reader:
+    """Reads values of one file and collects everything that is wrong in it."""
+
+    def __init__(self, file: str, parser: ConfigParser) -> None:
+        self._file = file
+        self._parser = parser
+        self._problems: list[SettingProblem] = []
+
+    @property
+    def problems(self) -> tuple[SettingProblem, ...]:
+        return tuple(self._problems)
+
+    def refuse(self, section: str, key: str, found: str, expected: str) -> None:
+        self._problems.append(SettingProblem(self._file, section, key, found, expected))
+
+    def text(self, section: str, key: str, expected: str) -> str:
+        value = self._parser.get(section, key, fallback="").strip()
+        if not value:
+            self.refuse(section, key, "", expected)
+        return value
+
+    def host(self, section: str, key: str) -> str:
+        value = self.text(section, key, "an IP address")
+        if value:
+            self._check_host(section, key, value)
+        return value
+
+    def port(self, section: str, key: str) -> int:
+        return self._port(section, key, self.text(section, key, "a port"))
+
+    def address(self, section: str, key: str) -> Address:
+        value = self.text(section, key, "IP:port")
+        host, colon, port = value.rpartition(":")
+        if not colon:
+            self.refuse(section, key, value, "IP:port")
+            return Address("", 0)
+        self._check_host(section, key, host)
+        return Address(host, self._port(section, key, port))
+
+    def check_names(self) -> None:
+        for section in self._parser.sections():
+            if section in _FREE_SECTIONS:
+                continue
+            if section not in _KNOWN_KEYS:
+                self.refuse(section, "", section, "a known section")
+                continue
+            for key in self._parser[section]:
+                if key not in _KNOWN_KEYS[section]:
+                    known = ", ".join(sorted(_KNOWN_KEYS[section]))
+                    self.refuse(section, key, key, f"one of {known}")
+
+    def keys(self, section: str) -> list[str]:
+        if not self._parser.has_section(section):
+            return []
+        return list(self._parser[section])
+
+    def _check_host(self, section: str, key: str, value: str) -> None:
+        try:
+            ip_address(value)
+        except ValueError:
+            self.refuse(section, key, value, "an IP address")
+
+    def _port(self, section: str, key: str, value: str) -> int:
+        if value.isdecimal() and 1 <= int(value) <= 65535:
+            return int(value)
+        if value:
+            self.refuse(section, key, value, "a port from 1 to 65535")
+        return 0
+
+
+def read_process_settings(path: Path) -> Result[ProcessSettings, InvalidSettings]:
+    """Return the settings of a process, or everything that is wrong in the file."""
+    parser = ConfigParser(interpolation=None, default_section="")
+    try:
+        parser.read_string(path.read_text(encoding="utf-8"), source=str(path))
+    except (OSError, UnicodeDecodeError, IniError) as error:
+        problem = SettingProblem(str(path), "", "", str(error), "a readable INI file")
+        return Error(InvalidSettings((problem,)))
+    reader = _Reader(str(path), parser)
+    reader.check_names()
+    settings = _read(reader, parser)
+    if reader.problems:
+        return Error(InvalidSettings(reader.problems))
+    return Ok(settings)
+
+
+def _read(reader: _Reader, parser: ConfigParser) -> ProcessSettings:
+    host = reader.host("instance", "host")
+    name = reader.text("instance", "name", "the name of the instance")
+    peers = {key: reader.address("peers", key) for key in reader.keys("peers")}
+    folder = parser.get("instance", "data_folder", fallback="").strip()
+    voters = parser.get("agreement", "voters", fallback="").replace(",", " ").split()
+    for voter in voters:
+        if voter != name and voter not in peers:
+            reader.refuse("agreement", "voters", voter, "this instance or a peer")
+    if name in voters and not folder:
+        reader.refuse("instance", "data_folder", "", "a folder, because it votes")
+    return ProcessSettings(
+        name=name,
+        data_centre=reader.text("instance", "data_centre", "a data centre"),
+        http_address=Address(host, reader.port("instance", "http_port")),
+        peer_address=Address(host, reader.port("instance", "peer_port")),
+        data_folder=Path(folder) if folder else None,
+        peers=peers,
+        voters=tuple(voters),
+        operators={key: _digest(reader, key) for key in reader.keys("operators")},
+    )
+
+
+def _digest(reader: _Reader, operator: str) -> str:
+    value = reader.text("operators", operator, "a SHA-256 digest").lower()
+    if len(value) != _DIGEST_LENGTH or not set(value) <= set("0123456789abcdef"):
+        reader.refuse("operators", operator, value, "a SHA-256 digest in hexadecimal")
+    return value
--- /dev/null
+++ b/src/lovagetray/_telemetry.py
@@ -0,0 +1,53 @@
+"""Logging and metrics of a process."""
+
+from sys import stderr
+
+from prometheus_client import Counter, Gauge, Histogram
+from structlog import PrintLoggerFactory, configure
+from structlog.contextvars import merge_contextvars
+from structlog.processors import JSONRenderer, TimeStamper, add_log_level
+
+SEARCH_SECONDS = Histogram(
+    "lovagetray_search_seconds",
+    "Time from reading a search to its answer",
+    ["service"],
+    buckets=(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.33, 0.5, 1, 2, 5),
+)
+SHARDS_MISSING = Counter(
+    "lovagetray_shards_missing_total",
+    "Shards missing from answers, by reason",
+    ["service", "reason"],
+)
+SUB_REQUESTS = Counter(
+    "lovagetray_sub_requests_total",
+    "Sub-requests sent, by kind: first, retry or hedge",
+    ["service", "kind"],
+)
+REFUSALS = Counter(
+    "lovagetray_refusals_total",
+    "Requests answered with an error, by its code",
+    ["code"],
+)
+MEMBER_SERVICE = Counter(
+    "lovagetray_member_service_total",
+    "Requests answered, by service and member",
+    ["service", "member"],
+)
+CONNECTIONS_OPEN = Gauge(
+    "lovagetray_caller_connections",
+    "Connections of callers that are open",
+)
+
+
+def configure_logging() -> None:
+    """Write log events as JSON lines to standard error."""
+    configure(
+        processors=[
+            merge_contextvars,
+            add_log_level,
+            TimeStamper(fmt="iso", utc=True, key="time"),
+            JSONRenderer(),
+        ],
+        logger_factory=PrintLoggerFactory(stderr),
+        cache_logger_on_first_use=True,
+    )
--- /dev/null
+++ b/src/lovagetray/_types.py
@@ -0,0 +1,194 @@
+"""Core records that commands, queries and the wire share."""
+
+from datetime import timedelta
+from enum import Enum
+from typing import NamedTuple
+
+
+class Address(NamedTuple):
+    """An IP address and a TCP port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class InstanceId(NamedTuple):
+    """One run of an instance; a restart has another incarnation."""
+
+    name: str
+    incarnation: str
+
+
+class Snapshot(NamedTuple):
+    """An index version together with the partition map that divides it."""
+
+    version: int
+    layout: str
+    shards: int
+
+
+class Holding(NamedTuple):
+    """One shard of one snapshot that a target can serve."""
+
+    snapshot: Snapshot
+    shard: int
+
+
+class TargetState(Enum):
+    """What a target says about itself."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+class Load(NamedTuple):
+    """A target's own load report; a hint, since reports lag or mislead."""
+
+    in_flight: int
+    queued: int
+
+
+class Announcement(NamedTuple):
+    """What a target tells the entry instances about itself.
+
+    Parameters
+    ----------
+    incarnation
+        Start time of the target's process in nanoseconds; a restart has a higher one.
+    sequence
+        Counts the announcements of one incarnation.
+    slots
+        Requests that the target works on at once.
+    connections
+        Connections that the target accepts at once.
+    connect_cost
+        Time that a new connection costs.
+    """
+
+    service: str
+    target: str
+    incarnation: int
+    sequence: int
+    data_centre: str
+    address: Address
+    state: TargetState
+    holdings: tuple[Holding, ...]
+    slots: int
+    connections: int
+    connect_cost: timedelta
+    load: Load
+
+
+class Record(NamedTuple):
+    """One search result."""
+
+    id: str
+    score: float
+    fields: dict[str, str]
+
+
+class SubRequest(NamedTuple):
+    """The part of a query that one replica of one shard answers.
+
+    Parameters
+    ----------
+    request_id
+        Unique for each attempt.
+    budget
+        Time left when the sub-request was sent.
+    limit
+        The most records to return.
+    """
+
+    request_id: str
+    query_id: str
+    service: str
+    target: str
+    shard: int
+    snapshot: Snapshot
+    budget: timedelta
+    terms: str
+    limit: int
+
+
+class SubReply(NamedTuple):
+    """A replica's reply to a sub-request.
+
+    Parameters
+    ----------
+    queue_wait
+        How long a new sub-request would wait for a slot at this replica now.
+    """
+
+    request_id: str
+    shard: int
+    snapshot: Snapshot
+    records: tuple[Record, ...]
+    queue_wait: timedelta
+
+
+class MissingReason(Enum):
+    """Why a shard is missing from an answer."""
+
+    NO_REPLICA = "no_replica"
+    TIMEOUT = "timeout"
+    FAILED = "failed"
+    OVERLOADED = "overloaded"
+    SNAPSHOT_GONE = "snapshot_gone"
+
+
+class MissingShard(NamedTuple):
+    """A shard that an answer does not include."""
+
+    shard: int
+    reason: MissingReason
+
+
+class Coverage(NamedTuple):
+    """Which shards of a snapshot an answer includes and which it does not."""
+
+    shards: int
+    included: tuple[int, ...]
+    missing: tuple[MissingShard, ...]
+
+    @property
+    def complete(self) -> bool:
+        """Whether every shard is included."""
+        return not self.missing
+
+
+class SearchRequest(NamedTuple):
+    """A caller's search.
+
+    Parameters
+    ----------
+    member
+        On whose behalf the caller searches; service is shared between members.
+    limit
+        The most records to return.
+    budget
+        Time until the caller's deadline.
+    """
+
+    request_id: str
+    service: str
+    member: str
+    terms: str
+    limit: int
+    budget: timedelta
+    require_complete: bool
+
+
+class Answer(NamedTuple):
+    """The answer to a search: the best records of one snapshot, with coverage."""
+
+    request_id: str
+    query_id: str
+    service: str
+    snapshot: Snapshot
+    coverage: Coverage
+    records: tuple[Record, ...]
--- /dev/null
+++ b/src/lovagetray/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that changes state, by subject."""
--- /dev/null
+++ b/src/lovagetray/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that only reads state, by subject."""
--- /dev/null
+++ b/src/lovagetray/state/_directory.py
@@ -0,0 +1,158 @@
+"""The targets that have announced themselves, as one instance knows them."""
+
+from collections.abc import Iterator
+from datetime import timedelta
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from lovagetray._errors import BadAnnouncement, StaleAnnouncement
+from lovagetray._types import Announcement, Snapshot, TargetState
+
+
+class Listing(NamedTuple):
+    """An accepted announcement and when it was last heard, on the monotonic clock."""
+
+    announcement: Announcement
+    heard_at: timedelta
+
+
+class Directory:
+    """Announced targets; the announce command is its only writer.
+
+    Parameters
+    ----------
+    lifetime
+        How long an announcement counts after it was heard.
+    """
+
+    def __init__(self, lifetime: timedelta) -> None:
+        self._lifetime = lifetime
+        self._listings: dict[str, dict[str, Listing]] = {}
+        self._layouts: dict[str, dict[int, Snapshot]] = {}
+
+    @property
+    def lifetime(self) -> timedelta:
+        """How long an announcement counts after it was heard."""
+        return self._lifetime
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """The services that targets have announced."""
+        return tuple(self._listings)
+
+    def accept(
+        self, announcement: Announcement, heard_at: timedelta
+    ) -> Result[Listing, BadAnnouncement | StaleAnnouncement]:
+        """Record an announcement, or tell why it is refused.
+
+        The first announcement of an index version fixes its partition map. A target
+        that said it is leaving stays so until it restarts with a new incarnation.
+        """
+        known = self._listings.get(announcement.service, {}).get(announcement.target)
+        if known is not None and not _supersedes(announcement, known.announcement):
+            return Error(StaleAnnouncement(announcement.target))
+        contradiction = self._contradiction(announcement)
+        if contradiction is not None:
+            return Error(contradiction)
+        listing = Listing(announcement, heard_at)
+        self._listings.setdefault(announcement.service, {})[
+            announcement.target
+        ] = listing
+        layouts = self._layouts.setdefault(announcement.service, {})
+        for holding in announcement.holdings:
+            layouts[holding.snapshot.version] = holding.snapshot
+        self._forget_layouts(announcement.service)
+        return Ok(listing)
+
+    def expire(self, now: timedelta, forget_after: timedelta) -> None:
+        """Drop targets that have been silent for longer than `forget_after`."""
+        for service, listings in self._listings.items():
+            gone = [
+                name
+                for name, listing in listings.items()
+                if now - listing.heard_at > forget_after
+            ]
+            for name in gone:
+                del listings[name]
+            if gone:
+                self._forget_layouts(service)
+        empty = [service for service, found in self._listings.items() if not found]
+        for service in empty:
+            del self._listings[service]
+            self._layouts.pop(service, None)
+
+    def listing(self, service: str, target: str) -> Listing | None:
+        """Return what is known of a target."""
+        return self._listings.get(service, {}).get(target)
+
+    def listings(self, service: str | None = None) -> Iterator[Listing]:
+        """Yield the known targets, of one service or of all."""
+        if service is not None:
+            yield from self._listings.get(service, {}).values()
+            return
+        for listings in self._listings.values():
+            yield from listings.values()
+
+    def snapshots(self, service: str) -> list[Snapshot]:
+        """Return the announced snapshots of a service, the newest first."""
+        layouts = self._layouts.get(service, {})
+        return [layouts[version] for version in sorted(layouts, reverse=True)]
+
+    def candidates(
+        self, service: str, snapshot: Snapshot, shard: int, now: timedelta
+    ) -> list[Listing]:
+        """Return the targets that may get new work for a shard of a snapshot."""
+        return [
+            listing
+            for listing in self._listings.get(service, {}).values()
+            if self.usable(listing, now)
+            and any(
+                holding.shard == shard and holding.snapshot == snapshot
+                for holding in listing.announcement.holdings
+            )
+        ]
+
+    def usable(self, listing: Listing, now: timedelta) -> bool:
+        """Tell whether a target may get new work."""
+        return (
+            listing.announcement.state is TargetState.READY
+            and now - listing.heard_at <= self._lifetime
+        )
+
+    def _contradiction(self, announcement: Announcement) -> BadAnnouncement | None:
+        layouts = self._layouts.get(announcement.service, {})
+        for holding in announcement.holdings:
+            snapshot = holding.snapshot
+            if not 0 <= holding.shard < snapshot.shards:
+                return BadAnnouncement("shard", f"from 0 to {snapshot.shards - 1}")
+            known = layouts.get(snapshot.version, snapshot)
+            if known != snapshot:
+                return BadAnnouncement(
+                    "snapshot", f"layout {known.layout!r} with {known.shards} shards"
+                )
+        return None
+
+    def _forget_layouts(self, service: str) -> None:
+        held = {
+            holding.snapshot.version
+            for listing in self._listings.get(service, {}).values()
+            for holding in listing.announcement.holdings
+        }
+        layouts = self._layouts.get(service, {})
+        self._layouts[service] = {
+            version: snapshot
+            for version, snapshot in layouts.items()
+            if version in held
+        }
+
+
+def _supersedes(new: Announcement, old: Announcement) -> bool:
+    if (new.incarnation, new.sequence) <= (old.incarnation, old.sequence):
+        return False
+    returned = (
+        old.state is TargetState.LEAVING
+        and new.incarnation == old.incarnation
+        and new.state is not TargetState.LEAVING
+    )
+    return not returned
