--- /dev/null
+++ b/features/whole_path.feature
@@ -0,0 +1,22 @@
+Feature: A search through separate processes
+
+  Guards against answers that lose shards when replicas die, and against answers that
+  claim shards they do not include.
+
+  Scenario: A search reaches every shard
+    Given 3 entry instances and a service of 4 shards with 2 replicas
+    When a caller searches for "wedding album"
+    Then the answer includes 4 of 4 shards
+
+  Scenario: One killed replica of each shard loses no coverage
+    Given 3 entry instances and a service of 4 shards with 2 replicas
+    When replica 0 of each shard is killed
+    And a caller searches for "wedding album"
+    Then the answer includes 4 of 4 shards
+
+  Scenario: A shard without replicas is stated as missing
+    Given 3 entry instances and a service of 4 shards with 1 replicas
+    When the only replica of shard 2 is killed
+    And a caller searches for "wedding album"
+    Then the answer includes 3 of 4 shards
+    And the answer names shard 2 as missing
--- /dev/null
+++ b/src/lovagetray/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line."""
+
+from lovagetray.cli._main import main
--- /dev/null
+++ b/src/lovagetray/cli/_exit_codes.py
@@ -0,0 +1,14 @@
+"""Exit codes of the command line."""
+
+from enum import IntEnum
+
+
+class ExitCode(IntEnum):
+    """What the exit code of a subcommand means."""
+
+    DONE = 0
+    REFUSED = 1
+    USAGE = 2
+    INVALID_SETTINGS = 3
+    UNREACHABLE = 4
+    INCOMPLETE = 5
--- /dev/null
+++ b/src/lovagetray/cli/_main.py
@@ -0,0 +1,54 @@
+"""The command line: one program with subcommands."""
+
+from argparse import ArgumentParser, RawDescriptionHelpFormatter
+from collections.abc import Callable, Sequence
+from importlib.metadata import PackageNotFoundError, version
+from typing import Any
+
+from lovagetray.cli.commands import add_entry_parser
+from lovagetray.cli.queries import (
+    add_check_settings_parser,
+    add_query_parser,
+    add_status_parser,
+)
+
+_EPILOG = """exit codes:
+  0  done
+  1  the request was refused or failed
+  2  wrong usage
+  3  invalid settings
+  4  no instance could be reached
+  5  the answer is incomplete
+"""
+
+_Adder = Callable[[Any], None]
+_ADDERS: tuple[_Adder, ...] = (
+    add_entry_parser,
+    add_query_parser,
+    add_status_parser,
+    add_check_settings_parser,
+)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one subcommand and return its exit code."""
+    parser = ArgumentParser(
+        prog="lovagetray",
+        description="A query tier over very many shards.",
+        epilog=_EPILOG,
+        formatter_class=RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--version", action="version", version=_version())
+    subparsers = parser.add_subparsers(required=True, metavar="command")
+    for add_parser in _ADDERS:
+        add_parser(subparsers)
+    parsed = parser.parse_args(arguments)
+    code: int = parsed.run(parsed)
+    return code
+
+
+def _version() -> str:
+    try:
+        return version("lovagetray")
+    except PackageNotFoundError:
+        return "unknown"
--- /dev/null
+++ b/src/lovagetray/cli/commands/__init__.py
@@ -0,0 +1,3 @@
+"""Subcommands that change state."""
+
+from lovagetray.cli.commands._entry import add_entry_parser
--- /dev/null
+++ b/src/lovagetray/commands/membership/_announce.py
@@ -0,0 +1,70 @@
+"""Accepts announcements of targets and spreads them to the other instances."""
+
+from datetime import timedelta
+
+from expression import Error, Ok, Result
+
+from lovagetray._clock import Clock
+from lovagetray._errors import BadAnnouncement, StaleAnnouncement
+from lovagetray._peer_messages import (
+    AgedAnnouncement,
+    Announced,
+    AnnouncementDigest,
+    KnownTarget,
+)
+from lovagetray._types import Announcement
+from lovagetray.state import Directory
+
+_NO_AGE = timedelta(0)
+
+
+def accept_announcement(
+    directory: Directory, announcement: Announcement, clock: Clock
+) -> Result[Announced, BadAnnouncement | StaleAnnouncement]:
+    """Record a target's announcement and return the message that relays it."""
+    match directory.accept(announcement, clock.elapsed()):
+        case Result(tag="ok"):
+            return Ok(Announced((AgedAnnouncement(announcement, _NO_AGE),)))
+        case Result(error=failure):
+            return Error(failure)
+
+
+def accept_relayed(directory: Directory, message: Announced, clock: Clock) -> None:
+    """Record announcements that a peer relayed; old or contradicting ones are lost."""
+    now = clock.elapsed()
+    for item in message.items:
+        directory.accept(item.announcement, now - item.age)
+
+
+def digest(directory: Directory) -> AnnouncementDigest:
+    """Return what this instance holds, for a peer to compare."""
+    return AnnouncementDigest(
+        tuple(_known(listing.announcement) for listing in directory.listings())
+    )
+
+
+def newer_than(
+    directory: Directory, message: AnnouncementDigest, clock: Clock
+) -> Announced:
+    """Return the announcements that the sender of a digest lacks."""
+    theirs = {
+        (known.service, known.target): (known.incarnation, known.sequence)
+        for known in message.known
+    }
+    now = clock.elapsed()
+    items = []
+    for listing in directory.listings():
+        ours = listing.announcement
+        held = theirs.get((ours.service, ours.target), (-1, -1))
+        if (ours.incarnation, ours.sequence) > held:
+            items.append(AgedAnnouncement(ours, now - listing.heard_at))
+    return Announced(tuple(items))
+
+
+def _known(announcement: Announcement) -> KnownTarget:
+    return KnownTarget(
+        announcement.service,
+        announcement.target,
+        announcement.incarnation,
+        announcement.sequence,
+    )
--- /dev/null
+++ b/src/lovagetray/entry/__init__.py
@@ -0,0 +1,3 @@
+"""The entry instance as a process."""
+
+from lovagetray.entry._instance import EntryInstance
--- /dev/null
+++ b/src/lovagetray/entry/_query_routes.py
@@ -0,0 +1,122 @@
+"""HTTP routes that only read."""
+
+from datetime import timedelta
+from typing import Any
+
+from expression import Result
+from msgspec.json import encode
+from prometheus_client import generate_latest
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+from lovagetray._clock import Clock
+from lovagetray._errors import Failure
+from lovagetray._telemetry import MEMBER_SERVICE, SEARCH_SECONDS, SHARDS_MISSING
+from lovagetray._types import Answer, SearchRequest
+from lovagetray.queries.membership import addresses_for
+from lovagetray.queries.search import Searcher
+from lovagetray.state import Directory, InstanceState, Members
+from lovagetray.wire import (
+    HttpRequest,
+    HttpResponse,
+    SearchDefaults,
+    decode_search_document,
+    encode_addresses,
+    encode_answer,
+    encode_failure,
+    search_request,
+)
+
+_JSON = {"content-type": "application/json"}
+
+
+class QueryRoutes:
+    """Answers callers' searches and questions about the system."""
+
+    def __init__(
+        self, searcher: Searcher, directory: Directory, members: Members, clock: Clock
+    ) -> None:
+        self._searcher = searcher
+        self._directory = directory
+        self._members = members
+        self._clock = clock
+
+    async def search(self, request: HttpRequest, request_id: str) -> HttpResponse:
+        """Answer ``POST /v1/search``."""
+        match decode_search_document(request.body):
+            case Result(tag="ok", ok=document):
+                pass
+            case Result(error=malformed):
+                return encode_failure(malformed, request_id)
+        defaults = SearchDefaults(
+            deadline=timedelta(milliseconds=330), require_complete=False
+        )
+        match search_request(document, request_id, defaults):
+            case Result(tag="ok", ok=search):
+                return await self._answer(search)
+            case Result(error=failure):
+                return encode_failure(failure, request_id)
+
+    async def addresses(self, request: HttpRequest, request_id: str) -> HttpResponse:
+        """Answer ``GET /v1/addresses``."""
+        serving = self._members.serving(self._clock.elapsed())
+        caller = request.query.get("caller", request.peer_host)
+        data_centre = request.query.get("data_centre", "")
+        return encode_addresses(
+            addresses_for(caller, data_centre, serving), timedelta(seconds=10)
+        )
+
+    async def status(self, request: HttpRequest, request_id: str) -> HttpResponse:
+        """Answer ``GET /v1/status``."""
+        now = self._clock.elapsed()
+        document: dict[str, Any] = {
+            "instance": self._members.myself.instance.name,
+            "state": self._members.myself.state.value,
+            "instances": [
+                {"name": record.instance.name, "state": record.state.value}
+                for record in self._members.live(now)
+            ],
+            "services": {
+                service: self._service_status(service, now)
+                for service in self._directory.services
+            },
+        }
+        return HttpResponse(200, dict(_JSON), encode(document))
+
+    async def metrics(self, request: HttpRequest, request_id: str) -> HttpResponse:
+        """Answer ``GET /metrics``."""
+        headers = {"content-type": CONTENT_TYPE_LATEST}
+        return HttpResponse(200, headers, generate_latest())
+
+    async def health(self, request: HttpRequest, request_id: str) -> HttpResponse:
+        """Answer ``GET /healthz``: the process works."""
+        return HttpResponse(200, dict(_JSON), b'{"status":"ok"}')
+
+    async def ready(self, request: HttpRequest, request_id: str) -> HttpResponse:
+        """Answer ``GET /readyz``: whether the instance takes new work."""
+        state = self._members.myself.state
+        status = 200 if state is InstanceState.SERVING else 503
+        return HttpResponse(status, dict(_JSON), encode({"state": state.value}))
+
+    def _service_status(self, service: str, now: timedelta) -> dict[str, int]:
+        listings = list(self._directory.listings(service))
+        usable = [one for one in listings if self._directory.usable(one, now)]
+        snapshots = self._directory.snapshots(service)
+        return {
+            "targets": len(listings),
+            "usable": len(usable),
+            "newest_version": snapshots[0].version if snapshots else -1,
+        }
+
+    async def _answer(self, search: SearchRequest) -> HttpResponse:
+        started = self._clock.elapsed()
+        result: Result[Answer, Failure] = await self._searcher.search(search)
+        taken = self._clock.elapsed() - started
+        match result:
+            case Result(tag="ok", ok=answer):
+                SEARCH_SECONDS.labels(search.service).observe(taken.total_seconds())
+                MEMBER_SERVICE.labels(search.service, search.member).inc()
+                for gap in answer.coverage.missing:
+                    SHARDS_MISSING.labels(search.service, gap.reason.value).inc()
+                return encode_answer(answer)
+            case Result(error=failure):
+                return encode_failure(failure, search.request_id)
--- /dev/null
+++ b/src/lovagetray/wire/_http.py
@@ -0,0 +1,24 @@
+"""HTTP requests and responses as records, independent of the connection."""
+
+from typing import NamedTuple
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class HttpRequest(NamedTuple):
+    """A complete HTTP request; header names are in lower case."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    peer_host: str
+
+
+class HttpResponse(NamedTuple):
+    """A complete HTTP response; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
--- /dev/null
+++ b/src/lovagetray/wire/_http_server.py
@@ -0,0 +1,254 @@
+"""HTTP/1.1 server: one task for each connection, through h11."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any, NamedTuple
+from urllib.parse import parse_qsl, urlsplit
+
+from curio import CancelledError, Task, TaskGroup, current_task, tcp_server_socket
+from expression import Error, Ok, Result
+from h11 import (
+    DONE,
+    NEED_DATA,
+    PAUSED,
+    SERVER,
+    Connection,
+    ConnectionClosed,
+    Data,
+    EndOfMessage,
+    LocalProtocolError,
+    RemoteProtocolError,
+    Request,
+    Response,
+)
+from structlog import get_logger
+
+from lovagetray._clock import Clock
+from lovagetray._errors import MalformedRequest, RequestTooLarge, RequestTooSlow
+from lovagetray._types import Address
+from lovagetray.wire._http import HttpRequest, HttpResponse
+
+_log = get_logger()
+_RECEIVE_BYTES = 65536
+_BACKLOG = 512
+
+RequestFailure = MalformedRequest | RequestTooLarge | RequestTooSlow
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+FailureEncoder = Callable[[RequestFailure], HttpResponse]
+
+
+class HttpLimits(NamedTuple):
+    """What a caller's connection may use.
+
+    Parameters
+    ----------
+    head_bytes, body_bytes
+        Largest request head and body.
+    request_time
+        Time from the first byte of a request to its last one.
+    idle_time
+        Time that a connection may stay open without a request.
+    connections
+        Connections open at once; further ones wait in the accept queue.
+    """
+
+    head_bytes: int = 16_384
+    body_bytes: int = 262_144
+    request_time: timedelta = timedelta(seconds=5)
+    idle_time: timedelta = timedelta(seconds=60)
+    connections: int = 2_000
+
+
+class HttpServer:
+    """Serves HTTP/1.1 on one address, with one task for each connection.
+
+    Parameters
+    ----------
+    handler
+        Turns each request into its response.
+    encode_failure
+        Turns a request that could not be read into a response.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        encode_failure: FailureEncoder,
+        clock: Clock,
+        limits: HttpLimits = HttpLimits(),
+    ) -> None:
+        self._handler = handler
+        self._encode_failure = encode_failure
+        self._clock = clock
+        self._limits = limits
+        self._idle: set[Task] = set()
+        self._open: set[Task] = set()
+        self._draining = False
+        self._closing = False
+
+    @property
+    def open_connections(self) -> int:
+        """The connections that are open now."""
+        return len(self._open)
+
+    def listen(self, address: Address) -> Any:
+        """Return a listening socket bound to `address`."""
+        return tcp_server_socket(
+            address.host, address.port, backlog=_BACKLOG, reuse_address=True
+        )
+
+    async def run(self, listener: Any) -> None:
+        """Accept connections until cancelled."""
+        async with TaskGroup(wait=None) as group:
+            async with listener:
+                while True:
+                    client, peer = await listener.accept()
+                    if len(self._open) >= self._limits.connections:
+                        await client.close()
+                        continue
+                    await group.spawn(self._serve, client, peer[0])
+
+    def drain(self) -> None:
+        """Ask callers to close: each further response says ``Connection: close``."""
+        self._draining = True
+
+    async def close_idle(self) -> None:
+        """Close idle connections now and the others after their response."""
+        self._draining = True
+        self._closing = True
+        for task in list(self._idle):
+            await task.cancel(blocking=False)
+
+    async def _serve(self, client: Any, peer_host: str) -> None:
+        task = await current_task()
+        self._open.add(task)
+        connection = Connection(
+            SERVER, max_incomplete_event_size=self._limits.head_bytes
+        )
+        try:
+            async with client:
+                while await self._serve_request(task, client, connection, peer_host):
+                    connection.start_next_cycle()
+        except (OSError, CancelledError):
+            pass
+        finally:
+            self._open.discard(task)
+            self._idle.discard(task)
+
+    async def _serve_request(
+        self, task: Task, client: Any, connection: Connection, peer_host: str
+    ) -> bool:
+        """Serve one request; return whether the connection can be used again."""
+        if not connection.trailing_data[0]:
+            if not await self._wait_for_data(task, client, connection):
+                return False
+        read = await self._clock.within(
+            self._limits.request_time, self._read(client, connection, peer_host)
+        )
+        match read:
+            case Result(tag="ok", ok=Result(tag="ok", ok=None)):
+                return False
+            case Result(tag="ok", ok=Result(tag="ok", ok=HttpRequest() as request)):
+                response = await self._handler(request)
+            case Result(tag="ok", ok=Result(error=failure)):
+                response = self._encode_failure(failure)
+                return await self._respond(client, connection, response, close=True)
+            case _:
+                too_slow = RequestTooSlow(self._limits.request_time)
+                response = self._encode_failure(too_slow)
+                return await self._respond(client, connection, response, close=True)
+        return await self._respond(client, connection, response, close=self._draining)
+
+    async def _wait_for_data(
+        self, task: Task, client: Any, connection: Connection
+    ) -> bool:
+        if self._closing:
+            return False
+        self._idle.add(task)
+        received = await self._clock.within(
+            self._limits.idle_time, client.recv(_RECEIVE_BYTES)
+        )
+        self._idle.discard(task)
+        match received:
+            case Result(tag="ok", ok=data) if data:
+                connection.receive_data(data)
+                return True
+            case _:
+                return False
+
+    async def _read(
+        self, client: Any, connection: Connection, peer_host: str
+    ) -> Result[HttpRequest | None, MalformedRequest | RequestTooLarge]:
+        head: Request | None = None
+        body = bytearray()
+        while True:
+            try:
+                event = connection.next_event()
+            except RemoteProtocolError as error:
+                if error.error_status_hint == 431:
+                    return Error(RequestTooLarge(self._limits.head_bytes))
+                return Error(MalformedRequest(str(error)))
+            if event is NEED_DATA:
+                if connection.they_are_waiting_for_100_continue:
+                    await client.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+                connection.receive_data(await client.recv(_RECEIVE_BYTES))
+                continue
+            match event:
+                case Request():
+                    head = event
+                case Data(data=data):
+                    body += data
+                    if len(body) > self._limits.body_bytes:
+                        return Error(RequestTooLarge(self._limits.body_bytes))
+                case EndOfMessage() if head is not None:
+                    return _decode_head(head, bytes(body), peer_host)
+                case ConnectionClosed():
+                    return Ok(None)
+                case _ if event is PAUSED:
+                    return Error(MalformedRequest("pipelined upgrade"))
+
+    async def _respond(
+        self, client: Any, connection: Connection, response: HttpResponse, close: bool
+    ) -> bool:
+        headers = [(name, value) for name, value in response.headers.items()]
+        headers.append(("content-length", str(len(response.body))))
+        if close:
+            headers.append(("connection", "close"))
+        head = Response(status_code=response.status, headers=headers)
+        try:
+            payload = connection.send(head) or b""
+            payload += connection.send(Data(data=response.body)) or b""
+            payload += connection.send(EndOfMessage()) or b""
+        except LocalProtocolError:
+            return False
+        sent = await self._clock.within(
+            self._limits.request_time, client.sendall(payload)
+        )
+        return sent.is_ok() and not close and _reusable(connection)
+
+
+def _reusable(connection: Connection) -> bool:
+    return connection.our_state is DONE and connection.their_state is DONE
+
+
+def _decode_head(
+    head: Request, body: bytes, peer_host: str
+) -> Result[HttpRequest | None, MalformedRequest | RequestTooLarge]:
+    try:
+        target = urlsplit(head.target.decode("ascii"))
+        headers = {
+            name.decode("ascii"): value.decode("latin-1")
+            for name, value in head.headers
+        }
+    except (UnicodeDecodeError, ValueError) as error:
+        return Error(MalformedRequest(str(error)))
+    return Ok(
+        HttpRequest(
+            method=head.method.decode("ascii"),
+            path=target.path,
+            query=dict(parse_qsl(target.query)),
+            headers=headers,
+            body=body,
+            peer_host=peer_host,
+        )
+    )
--- /dev/null
+++ b/src/lovagetray/wire/_peer_codec.py
@@ -0,0 +1,66 @@
+"""The msgpack encoding of messages between instances."""
+
+from collections.abc import Sequence
+from typing import get_args
+
+from expression import Error, Ok, Result
+from msgspec import DecodeError, ValidationError, convert, to_builtins
+from msgspec.msgpack import Decoder, encode
+
+from lovagetray._errors import Failure, MalformedRequest, TargetFailed
+from lovagetray._peer_messages import (
+    Envelope,
+    FailureFrame,
+    OutcomeFrame,
+    PeerMessage,
+)
+from lovagetray._types import InstanceId, SubReply
+
+_decoders = {kind.__name__: Decoder(kind) for kind in get_args(PeerMessage)}
+_sender_decoder = Decoder(InstanceId)
+_failures = {kind.code: kind for kind in get_args(Failure)}
+
+
+def encode_envelope(envelope: Envelope) -> list[bytes]:
+    """Return the frames of a message: sender, kind and payload."""
+    kind = type(envelope.message).__name__.encode()
+    return [encode(envelope.sender), kind, encode(envelope.message)]
+
+
+def decode_envelope(frames: Sequence[bytes]) -> Result[Envelope, MalformedRequest]:
+    """Return the message in `frames`, or why it is malformed."""
+    if len(frames) != 3:
+        return Error(MalformedRequest(f"{len(frames)} frames in place of 3"))
+    sender, kind, payload = frames
+    decoder = _decoders.get(kind.decode("ascii", "replace"))
+    if decoder is None:
+        return Error(MalformedRequest("unknown kind of message"))
+    try:
+        return Ok(Envelope(_sender_decoder.decode(sender), decoder.decode(payload)))
+    except (DecodeError, ValidationError, RecursionError) as error:
+        return Error(MalformedRequest(str(error)))
+
+
+def encode_outcome(request_id: str, result: Result[SubReply, Failure]) -> OutcomeFrame:
+    """Return the frame of one outcome."""
+    match result:
+        case Result(tag="ok", ok=reply):
+            return OutcomeFrame(request_id, reply, None)
+        case Result(error=failure):
+            fields = to_builtins(failure)
+            return OutcomeFrame(request_id, None, FailureFrame(failure.code, fields))
+
+
+def decode_outcome(frame: OutcomeFrame) -> Result[SubReply, Failure]:
+    """Return the outcome in a frame."""
+    if frame.reply is not None:
+        return Ok(frame.reply)
+    if frame.failure is None:
+        return Error(TargetFailed("", 0))
+    kind = _failures.get(frame.failure.code)
+    if kind is None:
+        return Error(TargetFailed("", 0))
+    try:
+        return Error(convert(frame.failure.fields, kind))
+    except ValidationError:
+        return Error(TargetFailed("", 0))
