--- /dev/null
+++ b/features/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces, for runs in virtual time."""
--- /dev/null
+++ b/features/fakes/virtual_time.py
@@ -0,0 +1,58 @@
+"""Runs curio tasks in virtual time: minutes pass in milliseconds, repeatably."""
+
+from collections.abc import Awaitable, Callable
+from selectors import BaseSelector, DefaultSelector
+from typing import Any, TypeVar
+from unittest.mock import patch
+
+from curio import Kernel
+
+T = TypeVar("T")
+_START = 1000.0
+
+
+class DeadlockError(Exception):
+    """Every task waits and no timer is set, so nothing can happen any more."""
+
+
+class VirtualSelector(BaseSelector):
+    """Advances a virtual clock instead of waiting; real descriptors never wake."""
+
+    def __init__(self) -> None:
+        self._selector = DefaultSelector()
+        self._now = _START
+
+    def monotonic(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._now
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        if timeout is None:
+            raise DeadlockError
+        self._now += max(0.0, timeout)
+        return []
+
+    def register(self, fileobj: Any, events: int, data: Any = None) -> Any:
+        return self._selector.register(fileobj, events, data)
+
+    def unregister(self, fileobj: Any) -> Any:
+        return self._selector.unregister(fileobj)
+
+    def modify(self, fileobj: Any, events: int, data: Any = None) -> Any:
+        return self._selector.modify(fileobj, events, data)
+
+    def get_map(self) -> Any:
+        return self._selector.get_map()
+
+    def close(self) -> None:
+        self._selector.close()
+
+
+def run_virtual(work: Callable[..., Awaitable[T]], *arguments: Any) -> T:
+    """Run `work` to its end in virtual time and return its result."""
+    selector = VirtualSelector()
+    with patch("time.monotonic", selector.monotonic):
+        with patch("lovagetray._clock.monotonic", selector.monotonic):
+            with Kernel(selector=selector) as kernel:
+                result: T = kernel.run(work, *arguments)
+                return result
