Keep a replicated ledger of non-idempotent requests and run each at most once

Cause: nothing kept a resend, a retry or a crash from running a hold twice. Change: a ledger with begin, finish, lose and release; a runner that sends only after its begin was committed and tries another target only after proof of "not run". A request issued before the ledger's horizon is refused, so that forgetting a key never permits a second run. Open: not connected to the replicated log and the HTTP routes yet.

--- a/features/environment.py
+++ b/features/environment.py
@@ -8,7 +8,7 @@
 from behave.model import Scenario
 from behave.runner import Context
 
-path.insert(0, str(Path(__file__).parent.parent / "tools"))
+path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent / "tools")]
 
 
 def before_scenario(context: Context, scenario: Scenario) -> None:
--- /dev/null
+++ b/features/fakes/effects.py
@@ -0,0 +1,250 @@
+"""Fakes around the effect runner: a lossy ledger, targets that count executions."""
+
+from datetime import datetime, timedelta, timezone
+from random import Random
+from typing import NamedTuple
+
+from curio import TaskGroup, sleep, spawn
+from expression import Error, Ok, Result
+
+from lovagetray import (
+    Address,
+    Announcement,
+    Clock,
+    Failure,
+    SystemClock,
+    proves_not_run,
+)
+from lovagetray._errors import (
+    ConnectFailed,
+    ConnectionLost,
+    NoReply,
+    RefusedByTarget,
+    TimedOut,
+)
+from lovagetray._types import Load, TargetState
+from lovagetray._violations import Violations
+from lovagetray.commands.effects import EffectAnswer, EffectRequest, EffectRunner
+from lovagetray.state import (
+    Directory,
+    EffectDone,
+    EffectKey,
+    EffectOutcome,
+    Ledger,
+    LedgerCommand,
+    LedgerReply,
+    ReleaseEffect,
+)
+
+EPOCH = datetime(2026, 1, 1, tzinfo=timezone.utc)
+SERVICE = "venture/holds"
+RETENTION = timedelta(hours=24)
+
+
+class FakeLedgerLog:
+    """One ledger that all instances share, behind a network that loses messages."""
+
+    def __init__(self, ledger: Ledger, random: Random, loss: float) -> None:
+        self._ledger = ledger
+        self._random = random
+        self._loss = loss
+        self._clock = SystemClock()
+        self._origin = self._clock.elapsed()
+
+    def now(self) -> datetime:
+        """Return the wall time of the log."""
+        return EPOCH + (self._clock.elapsed() - self._origin)
+
+    async def propose(
+        self, command: LedgerCommand, limit: timedelta
+    ) -> Result[LedgerReply, Failure]:
+        await sleep(self._random.uniform(0, 0.02))
+        if self._random.random() < self._loss:
+            await self._clock.sleep(limit)
+            return Error(TimedOut(limit))
+        reply = self._ledger.apply(self.now(), command)
+        await sleep(self._random.uniform(0, 0.02))
+        if self._random.random() < self._loss:
+            await self._clock.sleep(limit)
+            return Error(TimedOut(limit))
+        return Ok(reply)
+
+    async def wait_for_outcome(
+        self, key: EffectKey, limit: timedelta
+    ) -> EffectOutcome | None:
+        end = self._clock.elapsed() + limit
+        while self._clock.elapsed() < end:
+            entry = self._ledger.entry(key)
+            if entry is not None and entry.outcome is not None:
+                return entry.outcome
+            await sleep(0.01)
+        return None
+
+    async def release_later(self, command: ReleaseEffect) -> None:
+        await spawn(self._release, command, daemon=True)
+
+    async def _release(self, command: ReleaseEffect) -> None:
+        await sleep(self._random.uniform(0, 0.5))
+        self._ledger.apply(self.now(), command)
+
+
+class Execution(NamedTuple):
+    """One run of a request at a target."""
+
+    key: str
+    request_id: str
+
+
+class FakeTargets:
+    """Targets that refuse, fail before or after running, or answer."""
+
+    def __init__(self, random: Random, faults: float) -> None:
+        self._random = random
+        self._faults = faults
+        self.executions: list[Execution] = []
+
+    async def execute(
+        self, request: EffectRequest, target: str, limit: timedelta
+    ) -> Result[str, Failure]:
+        await sleep(self._random.uniform(0, 0.02))
+        if self._random.random() < self._faults:
+            return await self._fail(request, target, limit)
+        return Ok(self._run(request))
+
+    def _run(self, request: EffectRequest) -> str:
+        self.executions.append(Execution(request.key, request.request_id))
+        return f"run by {request.request_id}"
+
+    async def _fail(
+        self, request: EffectRequest, target: str, limit: timedelta
+    ) -> Result[str, Failure]:
+        match self._random.randrange(5):
+            case 0:
+                return Error(ConnectFailed(target))
+            case 1:
+                return Error(RefusedByTarget(target, "shed"))
+            case 2:
+                self._run(request)
+                return Error(ConnectionLost(target))
+            case 3:
+                return Error(ConnectionLost(target))
+            case _:
+                await sleep(limit.total_seconds())
+                self._run(request)
+                return Error(NoReply(target))
+
+
+class Reply(NamedTuple):
+    """What a caller got for one of its sends."""
+
+    request: EffectRequest
+    result: Result[EffectAnswer, Failure]
+
+
+class EffectWorld:
+    """Callers that resend through several instances, and what came of it."""
+
+    def __init__(
+        self,
+        seed: int,
+        runner: type[EffectRunner] = EffectRunner,
+        ledger: type[Ledger] = Ledger,
+        loss: float = 0.15,
+        faults: float = 0.4,
+    ) -> None:
+        self._random = Random(seed)
+        self._clock: Clock = SystemClock()
+        self.violations = Violations()
+        self.ledger = ledger(self.violations, RETENTION)
+        self.log = FakeLedgerLog(self.ledger, self._random, loss)
+        self.targets = FakeTargets(self._random, faults)
+        self.replies: list[Reply] = []
+        directory = Directory(timedelta(days=1))
+        for number in range(3):
+            directory.accept(_announcement(number), self._clock.elapsed())
+        self._runners = [
+            runner(
+                f"entry-{number}",
+                directory,
+                self.log,
+                self.targets,
+                self._clock,
+                self.violations,
+            )
+            for number in range(3)
+        ]
+
+    async def run(self, keys: int = 20) -> None:
+        """Run `keys` requests, each sent several times, to the end."""
+        async with TaskGroup() as group:
+            for number in range(keys):
+                await group.spawn(self._call, f"key-{number}")
+        await sleep(5)
+
+    def problems(self) -> list[str]:
+        """Return every broken promise."""
+        found = [repr(violation) for violation in self.violations.found]
+        executed = [execution.key for execution in self.targets.executions]
+        found += [
+            f"{key} ran twice" for key in set(executed) if executed.count(key) > 1
+        ]
+        by_request = {execution.request_id for execution in self.targets.executions}
+        for reply in self.replies:
+            found += self._problems_of(reply, by_request)
+        return found
+
+    def _problems_of(self, reply: Reply, executed: set[str]) -> list[str]:
+        request = reply.request
+        match reply.result:
+            case Result(tag="ok", ok=EffectAnswer(outcome=EffectDone(body=body))):
+                runs = [
+                    one for one in self.targets.executions if one.key == request.key
+                ]
+                if [f"run by {one.request_id}" for one in runs] != [body]:
+                    return [f"{request.key}: answered {body!r}, runs {runs}"]
+            case Result(tag="error", error=failure) if proves_not_run(failure):
+                if request.request_id in executed:
+                    return [f"{request.request_id}: said not run, but ran"]
+        return []
+
+    async def _call(self, key: str) -> None:
+        issued_at = self.log.now()
+        sends = self._random.randint(1, 4)
+        async with TaskGroup() as group:
+            for number in range(sends):
+                await sleep(self._random.uniform(0, 0.3))
+                request = EffectRequest(
+                    request_id=f"{key}/{number}",
+                    service=SERVICE,
+                    member="athens",
+                    key=key,
+                    issued_at=issued_at,
+                    body="table 4",
+                    budget=timedelta(seconds=1),
+                )
+                task = await group.spawn(self._send, request)
+                if self._random.random() < 0.2:
+                    await sleep(self._random.uniform(0, 0.1))
+                    await task.cancel(blocking=False)
+
+    async def _send(self, request: EffectRequest) -> None:
+        runner = self._random.choice(self._runners)
+        result = await runner.run(request)
+        self.replies.append(Reply(request, result))
+
+
+def _announcement(number: int) -> Announcement:
+    return Announcement(
+        service=SERVICE,
+        target=f"holds-{number}",
+        incarnation=1,
+        sequence=1,
+        data_centre="athens-1",
+        address=Address("127.0.0.1", 1),
+        state=TargetState.READY,
+        holdings=(),
+        slots=4,
+        connections=45,
+        connect_cost=timedelta(milliseconds=1),
+        load=Load(0, 0),
+    )
--- /dev/null
+++ b/features/steps/effects_steps.py
@@ -0,0 +1,150 @@
+"""Steps for non-idempotent requests."""
+
+from datetime import timedelta
+
+from behave import given, then, when
+from behave.runner import Context
+from expression import Result
+from fakes.effects import EPOCH, RETENTION, SERVICE, EffectWorld
+from fakes.virtual_time import run_virtual
+
+from lovagetray._violations import Violations
+from lovagetray.commands.effects import EffectRunner, _run_once
+from lovagetray.state import (
+    Attempt,
+    BeginEffect,
+    ChangeRetention,
+    EffectKey,
+    FinishEffect,
+    Ledger,
+    LedgerCommand,
+    LedgerReply,
+    LoseEffect,
+    ReleaseEffect,
+)
+from lovagetray.wire import decode_ledger_snapshot, encode_ledger_snapshot
+
+_KEY = EffectKey(SERVICE, "key-1")
+_FIRST = Attempt("entry-1", "first")
+_SECOND = Attempt("entry-2", "second")
+
+
+class ForgetfulLedger(Ledger):
+    """A ledger that forgets who has begun: breaks the rule on purpose."""
+
+    def apply(self, at: object, command: LedgerCommand) -> LedgerReply:  # type: ignore
+        reply = super().apply(at, command)  # type: ignore[arg-type]
+        if isinstance(command, BeginEffect):
+            self._entries.pop(command.key, None)
+        return reply
+
+
+class RetryingRunner(EffectRunner):
+    """A runner that takes every failure as proof of not run."""
+
+    async def run(self, request):  # type: ignore
+        kept = _run_once.proves_not_run
+        _run_once.proves_not_run = lambda failure: True
+        discard, self._sent = self._sent, _KeepingSet(self._sent)
+        try:
+            return await super().run(request)
+        finally:
+            _run_once.proves_not_run = kept
+            self._sent = discard
+
+
+class _KeepingSet(set):  # type: ignore[type-arg]
+    def discard(self, item: object) -> None:
+        """Keep what was sent, since nothing proved that it did not run."""
+
+
+async def _run_world(world_seed: int, **broken: type) -> EffectWorld:
+    world = EffectWorld(world_seed, **broken)
+    await world.run()
+    return world
+
+
+@when("callers resend holds through 3 instances with seeds {first:d} to {last:d}")
+def run_seeds(context: Context, first: int, last: int) -> None:
+    context.problems = []
+    context.executions = 0
+    for seed in range(first, last + 1):
+        world = run_virtual(_run_world, seed)
+        context.executions += len(world.targets.executions)
+        context.problems += [f"seed {seed}: {found}" for found in world.problems()]
+
+
+@then("no hold ran twice and no refusal was false")
+def check_no_problem(context: Context) -> None:
+    assert context.executions > 0
+    assert not context.problems, context.problems[:5]
+
+
+@when('callers resend holds with the rule "{rule}" broken')
+def run_broken(context: Context, rule: str) -> None:
+    broken = {
+        "a begun key stays begun": {"ledger": ForgetfulLedger},
+        "retry only after proof of not run": {"runner": RetryingRunner},
+    }[rule]
+
+    async def run_broken_world() -> EffectWorld:
+        return await _run_world(1, **broken)
+
+    context.problems = run_virtual(run_broken_world).problems()
+
+
+@then('the run reports "{report}"')
+def check_report(context: Context, report: str) -> None:
+    assert any(report in found for found in context.problems), context.problems
+
+
+@given("a hold that was {state}")
+def prepare_hold(context: Context, state: str) -> None:
+    context.violations = Violations()
+    context.ledger = Ledger(context.violations, RETENTION)
+    context.ledger.apply(EPOCH, _begin(_FIRST))
+    match state:
+        case "finished":
+            context.ledger.apply(EPOCH, FinishEffect(_KEY, _FIRST, "done"))
+        case "lost":
+            context.ledger.apply(EPOCH, LoseEffect(_KEY, _FIRST))
+        case "released":
+            context.ledger.apply(EPOCH, ReleaseEffect(_KEY, _FIRST))
+
+
+@when("the same hold is sent {change}")
+def resend_hold(context: Context, change: str) -> None:
+    at = EPOCH + timedelta(seconds=1)
+    command = _begin(_SECOND)
+    match change:
+        case "with another body":
+            command = _begin(_SECOND, fingerprint="other")
+        case "with another issue time":
+            command = _begin(_SECOND, issued=timedelta(minutes=-1))
+        case "after the retention":
+            at = EPOCH + RETENTION + timedelta(seconds=1)
+        case "after a longer retention":
+            at = EPOCH + RETENTION + timedelta(seconds=1)
+            context.ledger.apply(at, ChangeRetention(RETENTION))
+            context.ledger.apply(at, ChangeRetention(3 * RETENTION))
+        case "after a restored snapshot":
+            encoded = encode_ledger_snapshot(context.ledger.snapshot())
+            restored = Ledger(context.violations, RETENTION)
+            match decode_ledger_snapshot(encoded):
+                case Result(tag="ok", ok=snapshot):
+                    restored.restore(snapshot)
+            context.ledger = restored
+        case "from the future":
+            command = _begin(_SECOND, issued=timedelta(hours=1))
+    context.reply = context.ledger.apply(at, command)
+
+
+@then("the ledger replies {reply}")
+def check_reply(context: Context, reply: str) -> None:
+    assert type(context.reply).__name__ == reply, context.reply
+
+
+def _begin(
+    attempt: Attempt, fingerprint: str = "same", issued: timedelta = timedelta(0)
+) -> BeginEffect:
+    return BeginEffect(_KEY, fingerprint, EPOCH + issued, attempt)
--- a/src/lovagetray/_errors.py
+++ b/src/lovagetray/_errors.py
@@ -261,6 +261,39 @@
         return f"a newer announcement of target {self.target!r} is known"
 
 
+@dataclass(frozen=True, slots=True)
+class KeyConflict:
+    """An idempotency key was used before with other contents or another issue time."""
+
+    code: ClassVar[str] = "key_conflict"
+    key: str
+
+    def __str__(self) -> str:
+        return f"idempotency key {self.key!r} belongs to another request"
+
+
+@dataclass(frozen=True, slots=True)
+class KeyExpired:
+    """The issue time of a non-idempotent request is outside of what is kept."""
+
+    code: ClassVar[str] = "key_expired"
+    key: str
+
+    def __str__(self) -> str:
+        return f"the issue time of {self.key!r} is too old or lies in the future"
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeUnknown:
+    """A non-idempotent request may have been started; its outcome is not known."""
+
+    code: ClassVar[str] = "outcome_unknown"
+    key: str
+
+    def __str__(self) -> str:
+        return f"request {self.key!r} may have been started, outcome unknown"
+
+
 @dataclass(frozen=True, slots=True)
 class SettingProblem:
     """One thing that is wrong in a settings file."""
@@ -313,6 +346,9 @@
     | PeerLost
     | BadAnnouncement
     | StaleAnnouncement
+    | KeyConflict
+    | KeyExpired
+    | OutcomeUnknown
     | InvalidSettings
 )
 
@@ -340,6 +376,8 @@
             | PeerUnreachable()
             | BadAnnouncement()
             | StaleAnnouncement()
+            | KeyConflict()
+            | KeyExpired()
         ):
             return True
         case _:
--- /dev/null
+++ b/src/lovagetray/commands/effects/_run_once.py
@@ -0,0 +1,242 @@
+"""Runs a non-idempotent request at most once."""
+
+from datetime import datetime, timedelta
+from hashlib import sha256
+from typing import NamedTuple, Protocol
+from uuid import uuid4
+
+from expression import Error, Ok, Result
+from structlog import get_logger
+from xxhash import xxh64_intdigest
+
+from lovagetray._clock import Clock
+from lovagetray._errors import (
+    Failure,
+    KeyConflict,
+    KeyExpired,
+    OutcomeUnknown,
+    UnknownService,
+    proves_not_run,
+)
+from lovagetray._violations import SentTwice, Violations
+from lovagetray.state import (
+    AlreadyBegun,
+    AlreadyFinished,
+    AlreadyLost,
+    Attempt,
+    BeginEffect,
+    Begun,
+    Directory,
+    EffectDone,
+    EffectKey,
+    EffectOutcome,
+    EffectUnknown,
+    FinishEffect,
+    IssuedTooEarly,
+    IssuedTooLate,
+    KeyReused,
+    LedgerCommand,
+    LedgerReply,
+    LoseEffect,
+    ReleaseEffect,
+)
+
+_log = get_logger()
+# The outcome must still be recorded after the target has answered late.
+_RECORD_MARGIN = timedelta(milliseconds=50)
+_MOST_TARGETS = 3
+
+
+class EffectRequest(NamedTuple):
+    """A caller's non-idempotent request.
+
+    Parameters
+    ----------
+    key
+        The caller's idempotency key; a resend repeats it.
+    issued_at
+        When the caller issued the request first; a resend repeats it.
+    budget
+        Time until the caller's deadline.
+    """
+
+    request_id: str
+    service: str
+    member: str
+    key: str
+    issued_at: datetime
+    body: str
+    budget: timedelta
+
+
+class EffectAnswer(NamedTuple):
+    """The outcome of a request, and whether an earlier attempt produced it."""
+
+    outcome: EffectOutcome
+    repeated: bool
+
+
+class LedgerLog(Protocol):
+    """The replicated ledger as a runner uses it."""
+
+    async def propose(
+        self, command: LedgerCommand, limit: timedelta
+    ) -> Result[LedgerReply, Failure]:
+        """Commit a command within `limit` and return the ledger's reply."""
+
+    async def wait_for_outcome(
+        self, key: EffectKey, limit: timedelta
+    ) -> EffectOutcome | None:
+        """Return the recorded outcome, or None after `limit`."""
+
+    async def release_later(self, command: ReleaseEffect) -> None:
+        """Commit a release in the background, for as long as it takes."""
+
+
+class EffectSender(Protocol):
+    """Runs a request on one target, through the owner of the replica."""
+
+    async def execute(
+        self, request: EffectRequest, target: str, limit: timedelta
+    ) -> Result[str, Failure]:
+        """Return the target's answer; the failure tells whether it may have run."""
+
+
+class EffectRunner:
+    """Runs non-idempotent requests; one call runs in the caller's connection task."""
+
+    def __init__(
+        self,
+        instance: str,
+        directory: Directory,
+        ledger: LedgerLog,
+        sender: EffectSender,
+        clock: Clock,
+        violations: Violations,
+    ) -> None:
+        self._instance = instance
+        self._directory = directory
+        self._ledger = ledger
+        self._sender = sender
+        self._clock = clock
+        self._violations = violations
+        self._sent: set[str] = set()
+
+    async def run(self, request: EffectRequest) -> Result[EffectAnswer, Failure]:
+        """Return the outcome of a request, running it if nobody has begun it.
+
+        Returns
+        -------
+        Result
+            The outcome; or a failure, whose ``not_run`` is true only if the request
+            did not run and may be sent again under the same key.
+        """
+        deadline = self._clock.elapsed() + request.budget
+        if not self._targets(request):
+            return Error(UnknownService(request.service))
+        key = EffectKey(request.service, request.key)
+        attempt = Attempt(self._instance, uuid4().hex)
+        begin = BeginEffect(key, _fingerprint(request), request.issued_at, attempt)
+        begun = await self._ledger.propose(begin, self._left(deadline))
+        match begun:
+            case Result(tag="ok", ok=Begun()):
+                return await self._run_begun(request, key, attempt, deadline)
+            case Result(tag="ok", ok=AlreadyFinished(body=body)):
+                return Ok(EffectAnswer(EffectDone(body), repeated=True))
+            case Result(tag="ok", ok=AlreadyLost()):
+                return Ok(EffectAnswer(EffectUnknown(), repeated=True))
+            case Result(tag="ok", ok=AlreadyBegun()):
+                return await self._follow(key, deadline)
+            case Result(tag="ok", ok=KeyReused()):
+                return Error(KeyConflict(request.key))
+            case Result(tag="ok", ok=IssuedTooEarly() | IssuedTooLate()):
+                return Error(KeyExpired(request.key))
+            case Result(tag="error", error=failure):
+                # Whether the begin was committed may be unknown, but nothing was sent.
+                await self._ledger.release_later(ReleaseEffect(key, attempt))
+                return Error(failure)
+            case _:
+                return Error(OutcomeUnknown(request.key))
+
+    async def _run_begun(
+        self,
+        request: EffectRequest,
+        key: EffectKey,
+        attempt: Attempt,
+        deadline: timedelta,
+    ) -> Result[EffectAnswer, Failure]:
+        failure: Failure = UnknownService(request.service)
+        for target in self._targets(request)[:_MOST_TARGETS]:
+            limit = self._left(deadline) - _RECORD_MARGIN
+            if limit <= timedelta(0):
+                break
+            self._check_first_send(attempt)
+            result = await self._sender.execute(request, target, limit)
+            match result:
+                case Result(tag="ok", ok=body):
+                    finish = FinishEffect(key, attempt, body)
+                    return await self._finish(finish, EffectDone(body), deadline)
+                case Result(error=failure):
+                    if not proves_not_run(failure):
+                        _log.warning(
+                            "effect_outcome_unknown",
+                            key=request.key,
+                            cause=failure.code,
+                        )
+                        lose = LoseEffect(key, attempt)
+                        return await self._finish(lose, EffectUnknown(), deadline)
+                    self._sent.discard(attempt.attempt_id)
+        await self._ledger.release_later(ReleaseEffect(key, attempt))
+        return Error(failure)
+
+    async def _finish(
+        self,
+        command: FinishEffect | LoseEffect,
+        outcome: EffectOutcome,
+        deadline: timedelta,
+    ) -> Result[EffectAnswer, Failure]:
+        """Record an outcome; the caller learns it even if that fails."""
+        self._sent.discard(command.attempt.attempt_id)
+        limit = max(self._left(deadline), _RECORD_MARGIN)
+        recorded = await self._ledger.propose(command, limit)
+        if recorded.is_error():
+            _log.warning("effect_outcome_not_recorded", key=command.key.key)
+        return Ok(EffectAnswer(outcome, repeated=False))
+
+    async def _follow(
+        self, key: EffectKey, deadline: timedelta
+    ) -> Result[EffectAnswer, Failure]:
+        """Wait for the outcome of another attempt."""
+        limit = self._left(deadline) - _RECORD_MARGIN
+        outcome = await self._ledger.wait_for_outcome(key, limit)
+        return Ok(EffectAnswer(outcome or EffectUnknown(), repeated=True))
+
+    def _check_first_send(self, attempt: Attempt) -> None:
+        if attempt.attempt_id in self._sent:
+            self._violations.report(SentTwice(attempt.attempt_id))
+        self._sent.add(attempt.attempt_id)
+
+    def _targets(self, request: EffectRequest) -> list[str]:
+        """Return the usable targets of the service, in an order that the key decides.
+
+        Load reports lag, so they do not decide; keys spread requests evenly.
+        """
+        now = self._clock.elapsed()
+        usable = [
+            listing.announcement.target
+            for listing in self._directory.listings(request.service)
+            if self._directory.usable(listing, now)
+        ]
+
+        def rank(target: str) -> int:
+            return xxh64_intdigest(f"{request.key}\0{target}".encode())
+
+        return sorted(usable, key=rank)
+
+    def _left(self, deadline: timedelta) -> timedelta:
+        return max(timedelta(0), deadline - self._clock.elapsed())
+
+
+def _fingerprint(request: EffectRequest) -> str:
+    text = "\0".join((request.service, request.member, request.body))
+    return sha256(text.encode()).hexdigest()
--- a/src/lovagetray/state/__init__.py
+++ b/src/lovagetray/state/__init__.py
@@ -1,6 +1,32 @@
 """State that commands change and queries read."""
 
 from lovagetray.state._directory import Directory, Listing
+from lovagetray.state._ledger import (
+    AlreadyBegun,
+    AlreadyFinished,
+    AlreadyLost,
+    Attempt,
+    BeginEffect,
+    Begun,
+    ChangeRetention,
+    EffectDone,
+    EffectKey,
+    EffectOutcome,
+    EffectUnknown,
+    FinishEffect,
+    IssuedTooEarly,
+    IssuedTooLate,
+    KeyReused,
+    Ledger,
+    LedgerCommand,
+    LedgerEntry,
+    LedgerReply,
+    LedgerSnapshot,
+    LoseEffect,
+    Progress,
+    Recorded,
+    ReleaseEffect,
+)
 from lovagetray.state._members import (
     InstanceRecord,
     InstanceState,
--- a/src/lovagetray/wire/__init__.py
+++ b/src/lovagetray/wire/__init__.py
@@ -12,6 +12,14 @@
 from lovagetray.wire._http import HttpRequest, HttpResponse
 from lovagetray.wire._http_client import HttpConnection
 from lovagetray.wire._http_server import HttpLimits, HttpServer
+from lovagetray.wire._ledger_codec import (
+    decode_ledger_command,
+    decode_ledger_reply,
+    decode_ledger_snapshot,
+    encode_ledger_command,
+    encode_ledger_reply,
+    encode_ledger_snapshot,
+)
 from lovagetray.wire._peer_codec import (
     decode_envelope,
     decode_outcome,
