--- /dev/null
+++ b/features/bad_input.feature
@@ -0,0 +1,88 @@
+Feature: Bad input gets a typed error and disturbs nothing else
+
+  Guards against a malformed, oversized, slow or truncated request that takes an
+  instance down, blocks other callers or is answered with an untyped error.
+
+  Scenario: Bad HTTP requests
+    Given 1 entry instances and a service of 2 shards with 1 replicas
+    Then these raw requests get these replies
+      | request                                                        | status | code              |
+      | GARBAGE\r\n\r\n                                                | 400    | malformed_request |
+      | POST /v1/search HTTP/1.1\r\n\r\n                               | 400    | malformed_request |
+      | GET /nothing HTTP/1.1\r\nhost: a\r\n\r\n                       | 404    | unknown_route     |
+      | GET /v1/search HTTP/1.1\r\nhost: a\r\n\r\n                     | 404    | unknown_route     |
+      | POST /v1/search HTTP/1.1\r\nhost: a\r\ncontent-length: 1000000\r\n\r\n{LONG} | 413 | request_too_large |
+      | GET / HTTP/1.1\r\nhost: a\r\nx: {LONG}                         | 413    | request_too_large |
+      | POST /v1/search HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n{}  | 408 | request_too_slow  |
+    And a connection that closes inside a request gets no reply
+    And a search still includes 2 of 2 shards
+
+  Scenario: Bad searches
+    Given 1 entry instances and a service of 2 shards with 1 replicas
+    Then these searches get these errors
+      | body                                                              | status | code              | not_run |
+      | {                                                                 | 400    | malformed_request | true    |
+      | []                                                                | 400    | malformed_request | true    |
+      | {"service": 1, "terms": "a"}                                      | 400    | malformed_request | true    |
+      | {"service": "kallioniemi/invoices"}                               | 400    | malformed_request | true    |
+      | {"service": "kallioniemi/invoices", "terms": "a", "limit": 0}     | 400    | malformed_request | true    |
+      | {"service": "kallioniemi/invoices", "terms": "a", "deadline_ms": -5} | 504 | deadline_passed   | true    |
+      | {"service": "kallioniemi/nothing", "terms": "a"}                  | 404    | unknown_service   | true    |
+    And a search still includes 2 of 2 shards
+
+  Scenario: Impossible announcements
+    Given 1 entry instances and a service of 2 shards with 1 replicas
+    Then these changes of a good announcement get these errors
+      | field        | value           | status | code               |
+      | host         | "nowhere"       | 400    | bad_announcement   |
+      | host         | "0.0.0.0"       | 400    | bad_announcement   |
+      | host         | "224.0.0.1"     | 400    | bad_announcement   |
+      | port         | 0               | 400    | bad_announcement   |
+      | port         | 70000           | 400    | bad_announcement   |
+      | state        | "dancing"       | 400    | bad_announcement   |
+      | service      | ""              | 400    | bad_announcement   |
+      | slots        | 0               | 400    | bad_announcement   |
+      | connections  | -1              | 400    | bad_announcement   |
+      | sequence     | -1              | 400    | bad_announcement   |
+      | connect_cost_ms | -1           | 400    | bad_announcement   |
+      | slots        | "many"          | 400    | malformed_request  |
+      | holdings     | [{"version": 1, "layout": "mod", "shards": 2, "shard": 2}]  | 400 | bad_announcement |
+      | holdings     | [{"version": 1, "layout": "mod", "shards": 2, "shard": -1}] | 400 | bad_announcement |
+      | holdings     | [{"version": 1, "layout": "mod", "shards": 0, "shard": 0}]  | 400 | bad_announcement |
+      | holdings     | [{"version": 1, "layout": "other", "shards": 2, "shard": 0}] | 400 | bad_announcement |
+      | holdings     | [{"version": 1, "layout": "mod", "shards": 3, "shard": 0}]  | 400 | bad_announcement |
+    And a search still includes 2 of 2 shards
+
+  Scenario: Decoders return a typed result for any bytes
+    Then any bytes decode to a result as a search, an announcement or a peer message
+
+  Scenario: All errors of a settings file are reported at once
+    Given a settings file
+      """
+      [instance]
+      name = entry-1
+      host = localhost
+      http_port = 99999
+      colour = blue
+      [agreement]
+      voters = entry-1 entry-7
+      [peers]
+      entry-2 = 127.0.0.1
+      [operators]
+      anna = short
+      [unknown]
+      key = 1
+      """
+    When check-settings reads it
+    Then it exits with 3 and names these problems
+      | section   | key         |
+      | instance  | data_centre |
+      | instance  | host        |
+      | instance  | http_port   |
+      | instance  | peer_port   |
+      | instance  | colour      |
+      | instance  | data_folder |
+      | agreement | voters      |
+      | peers     | entry-2     |
+      | operators | anna        |
+      | unknown   |             |
--- a/features/environment.py
+++ b/features/environment.py
@@ -10,6 +10,12 @@
 
 path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent / "tools")]
 
+from fakes.virtual_time import silence_logs  # noqa: E402
+
+
+def before_all(context: Context) -> None:
+    silence_logs()
+
 
 def before_scenario(context: Context, scenario: Scenario) -> None:
     context.folder = Path(mkdtemp(prefix="lovagetray-"))
@@ -19,4 +25,16 @@
 def after_scenario(context: Context, scenario: Scenario) -> None:
     if context.fleet is not None:
         context.fleet.stop()
+    bad = _bad_log_lines(context.folder)
     rmtree(context.folder, ignore_errors=True)
+    assert not bad, bad[:5]
+
+
+def _bad_log_lines(folder: Path) -> list[str]:
+    """Return broken invariants and uncaught exceptions in the logs of processes."""
+    return [
+        f"{log.name}: {line}"
+        for log in folder.glob("entry-*.log")
+        for line in log.read_text(errors="replace").splitlines()
+        if "invariant_violated" in line or line.startswith("Traceback")
+    ]
--- a/features/fakes/virtual_time.py
+++ b/features/fakes/virtual_time.py
@@ -1,11 +1,13 @@
 """Runs curio tasks in virtual time: minutes pass in milliseconds, repeatably."""
 
 from collections.abc import Awaitable, Callable
+from logging import CRITICAL
 from selectors import BaseSelector, DefaultSelector
 from typing import Any, TypeVar
 from unittest.mock import patch
 
 from curio import Kernel
+from structlog import configure, make_filtering_bound_logger
 
 T = TypeVar("T")
 _START = 1000.0
@@ -56,3 +58,8 @@
             with Kernel(selector=selector) as kernel:
                 result: T = kernel.run(work, *arguments)
                 return result
+
+
+def silence_logs() -> None:
+    """Drop log events of the code under test; violations are checked directly."""
+    configure(wrapper_class=make_filtering_bound_logger(CRITICAL))
--- /dev/null
+++ b/features/steps/bad_input_steps.py
@@ -0,0 +1,163 @@
+"""Steps that send bad input."""
+
+from socket import create_connection
+from subprocess import run
+from sys import executable
+from urllib.error import HTTPError
+from urllib.request import Request, urlopen
+
+from behave import given, then, when
+from behave.runner import Context
+from expression import Result
+from hypothesis import given as given_data, settings, strategies
+from msgspec.json import decode, encode
+
+from lovagetray.wire import (
+    decode_announcement,
+    decode_envelope,
+    decode_search_document,
+)
+
+_LONG = "x" * 300_000
+_GOOD_ANNOUNCEMENT = {
+    "service": "kallioniemi/invoices",
+    "target": "invoices-new",
+    "incarnation": 1,
+    "sequence": 1,
+    "data_centre": "helsinki-1",
+    "host": "127.0.0.1",
+    "port": 1,
+    "state": "starting",
+    "holdings": [],
+    "slots": 5,
+    "connections": 40,
+    "connect_cost_ms": 6,
+    "in_flight": 0,
+    "queued": 0,
+}
+
+
+@then("these raw requests get these replies")
+def send_raw_requests(context: Context) -> None:
+    for row in context.table:
+        raw = row["request"].replace("\\r\\n", "\r\n").replace("{LONG}", _LONG)
+        status, code = _exchange_raw(context, raw.encode())
+        assert (status, code) == (int(row["status"]), row["code"]), (row, status, code)
+
+
+@then("a connection that closes inside a request gets no reply")
+def truncate_request(context: Context) -> None:
+    port = context.fleet.entries[0].http_port
+    with create_connection(("127.0.0.1", port), timeout=10) as client:
+        client.sendall(b"POST /v1/search HTTP/1.1\r\nhost: a\r\ncontent-length: 50\r\n")
+        client.sendall(b"\r\n{")
+
+
+@then("a search still includes {included:d} of {shards:d} shards")
+def search_still_works(context: Context, included: int, shards: int) -> None:
+    context.execute_steps(f"""
+        When a caller searches for "wedding album"
+        Then the answer includes {included} of {shards} shards
+        """)
+
+
+@then("these searches get these errors")
+def send_bad_searches(context: Context) -> None:
+    for row in context.table:
+        status, error = _post(context, "/v1/search", row["body"].encode())
+        assert status == int(row["status"]), (row, status, error)
+        assert error["code"] == row["code"], (row, error)
+        assert error["not_run"] is (row["not_run"] == "true"), (row, error)
+
+
+@then("these changes of a good announcement get these errors")
+def send_bad_announcements(context: Context) -> None:
+    for row in context.table:
+        changed = {**_GOOD_ANNOUNCEMENT, row["field"]: decode(row["value"])}
+        status, error = _post(context, "/v1/announce", encode(changed))
+        assert status == int(row["status"]), (row, status, error)
+        assert error["code"] == row["code"], (row, error)
+
+
+@then("any bytes decode to a result as a search, an announcement or a peer message")
+def fuzz_decoders(context: Context) -> None:
+    json_values = strategies.recursive(
+        strategies.none()
+        | strategies.booleans()
+        | strategies.integers()
+        | strategies.floats()
+        | strategies.text(),
+        lambda inner: strategies.lists(inner)
+        | strategies.dictionaries(
+            strategies.sampled_from([*_GOOD_ANNOUNCEMENT, "terms", "limit"]), inner
+        ),
+    )
+    kinds = [b"Heartbeat", b"Announced", b"RunSubRequests", b"SubRequestOutcomes"]
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given_data(
+        strategies.binary() | json_values.map(encode),
+        strategies.sampled_from(kinds),
+        strategies.lists(strategies.binary(), max_size=5),
+    )
+    def decode_anything(body: bytes, kind: bytes, frames: list[bytes]) -> None:
+        assert isinstance(decode_search_document(body), Result)
+        assert isinstance(decode_announcement(body), Result)
+        assert isinstance(decode_envelope([body, kind, body]), Result)
+        assert isinstance(decode_envelope(frames), Result)
+
+    decode_anything()
+
+
+@given("a settings file")
+def write_settings(context: Context) -> None:
+    context.settings_file = context.folder / "bad.ini"
+    context.settings_file.write_text(context.text)
+
+
+@when("check-settings reads it")
+def check_settings(context: Context) -> None:
+    command = [executable, "-m", "lovagetray", "check-settings"]
+    context.checked = run(
+        [*command, str(context.settings_file)], capture_output=True, text=True
+    )
+
+
+@then("it exits with {code:d} and names these problems")
+def check_problems(context: Context, code: int) -> None:
+    assert context.checked.returncode == code, context.checked
+    lines = context.checked.stderr.splitlines()
+    for row in context.table:
+        start = f"{context.settings_file}: [{row['section']}] {row['key']}:"
+        assert any(line.startswith(start) for line in lines), (start, lines)
+    assert len(lines) == len(context.table.rows), lines
+
+
+def _exchange_raw(context: Context, raw: bytes) -> tuple[int, str]:
+    port = context.fleet.entries[0].http_port
+    with create_connection(("127.0.0.1", port), timeout=20) as client:
+        try:
+            client.sendall(raw)
+        except OSError:
+            pass
+        received = b""
+        while True:
+            try:
+                data = client.recv(65536)
+            except ConnectionResetError:
+                break
+            received += data
+            head, _, body = received.partition(b"\r\n\r\n")
+            if not data or body.endswith(b"}"):
+                break
+    status = int(head.split(b" ")[1])
+    return status, decode(body)["error"]["code"]
+
+
+def _post(context: Context, path: str, body: bytes) -> tuple[int, dict[str, object]]:
+    port = context.fleet.entries[0].http_port
+    try:
+        with urlopen(Request(f"http://127.0.0.1:{port}{path}", body), timeout=10) as ok:
+            return ok.status, {}
+    except HTTPError as refused:
+        return refused.code, decode(refused.read())["error"]
--- a/tools/effects_runs.py
+++ b/tools/effects_runs.py
@@ -8,7 +8,7 @@
 path.insert(0, str(Path(__file__).parent.parent / "features"))
 
 from fakes.effects import EffectWorld  # noqa: E402
-from fakes.virtual_time import run_virtual  # noqa: E402
+from fakes.virtual_time import run_virtual, silence_logs  # noqa: E402
 
 
 async def _run(seed: int) -> EffectWorld:
@@ -23,6 +23,7 @@
     parser.add_argument("--seeds", default="1-1000", help="first-last")
     parser.add_argument("--minutes", type=float, default=10)
     arguments = parser.parse_args()
+    silence_logs()
     first, last = map(int, arguments.seeds.split("-"))
     end = monotonic() + arguments.minutes * 60
     executions = done = broken = 0
