--- a/src/lovagetray/wire/_caller_json.py
+++ b/src/lovagetray/wire/_caller_json.py
@@ -12,6 +12,8 @@
     DeadlinePassed,
     Incomplete,
     InvalidSettings,
+    KeyConflict,
+    KeyExpired,
     MalformedRequest,
     Overloaded,
     PeerUnreachable,
@@ -153,8 +155,10 @@
             return 404
         case RequestTooSlow():
             return 408
-        case StaleAnnouncement():
+        case StaleAnnouncement() | KeyConflict():
             return 409
+        case KeyExpired():
+            return 410
         case RequestTooLarge():
             return 413
         case Overloaded() | Stopping() | PeerUnreachable() | Incomplete():
