--- a/tools/demo.py
+++ b/tools/demo.py
@@ -30,6 +30,10 @@
     fleet.start_entries(3, voters=3)
     print(f"starting {shards} shards with 3 replicas each", flush=True)
     fleet.start_targets(_SERVICE, shards, 3)
+    for entry in fleet.entries:
+        if _children(entry.process.pid):
+            print(f"{entry.name} started another process")
+            return 1
     command = [*program, "query", _SERVICE, "wedding album", "--deadline", "1000"]
     for entry in fleet.entries:
         command += ["--entry", f"127.0.0.1:{entry.http_port}"]
@@ -43,5 +47,13 @@
     return first or second
 
 
+def _children(pid: int) -> str:
+    """Return the ids of the processes that a process has started."""
+    return "".join(
+        children.read_text()
+        for children in Path(f"/proc/{pid}/task").glob("*/children")
+    )
+
+
 if __name__ == "__main__":
     exit(main())
