Add the settings tree, its state machine and the HTTP routes of operators

Operators need one inheriting tree whose changes are decided by the replicated log. The state part depends only on log entries: revisions are log indexes, times are those of the entries. Requests are validated before they are proposed, against the tree of their base revision.

--- a/src/lovagetray/_errors.py
+++ b/src/lovagetray/_errors.py
@@ -1,10 +1,20 @@
 """Every failure that lovagetray reports, as a data class with a stable code."""
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import ClassVar
 
+from lovagetray._settings_errors import (
+    InvalidSettings,
+    RefusedSettings,
+    RequestIdReused,
+    RevisionAhead,
+    RevisionConflict,
+    Unauthorized,
+    UnknownRevision,
+    UnreadableOutcome,
+)
+
 
 @dataclass(frozen=True, slots=True)
 class TimedOut:
@@ -261,35 +271,6 @@
         return f"a newer announcement of target {self.target!r} is known"
 
 
-@dataclass(frozen=True, slots=True)
-class SettingProblem:
-    """One thing that is wrong in a settings file."""
-
-    code: ClassVar[str] = "setting_problem"
-    file: str
-    section: str
-    key: str
-    found: str
-    expected: str
-
-    def __str__(self) -> str:
-        return (
-            f"{self.file}: [{self.section}] {self.key}: "
-            f"found {self.found!r}, expected {self.expected}"
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class InvalidSettings:
-    """Everything that is wrong in a settings file."""
-
-    code: ClassVar[str] = "invalid_settings"
-    problems: Sequence[SettingProblem]
-
-    def __str__(self) -> str:
-        return "\n".join(str(problem) for problem in self.problems)
-
-
 Failure = (
     TimedOut
     | MalformedRequest
@@ -314,6 +295,13 @@
     | BadAnnouncement
     | StaleAnnouncement
     | InvalidSettings
+    | RefusedSettings
+    | RevisionConflict
+    | RevisionAhead
+    | UnknownRevision
+    | RequestIdReused
+    | UnreadableOutcome
+    | Unauthorized
 )
 
 
@@ -340,6 +328,12 @@
             | PeerUnreachable()
             | BadAnnouncement()
             | StaleAnnouncement()
+            | RefusedSettings()
+            | RevisionConflict()
+            | RevisionAhead()
+            | UnknownRevision()
+            | RequestIdReused()
+            | Unauthorized()
         ):
             return True
         case _:
--- a/src/lovagetray/_process_settings.py
+++ b/src/lovagetray/_process_settings.py
@@ -7,7 +7,7 @@
 
 from expression import Error, Ok, Result
 
-from lovagetray._errors import InvalidSettings, SettingProblem
+from lovagetray._settings_errors import InvalidSettings, SettingProblem
 from lovagetray._types import Address
 
 
--- /dev/null
+++ b/src/lovagetray/_settings_errors.py
@@ -0,0 +1,171 @@
+"""Failures about settings: files of a process, the tree, and operators' requests."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import datetime
+from enum import Enum
+from typing import ClassVar, NamedTuple
+
+
+@dataclass(frozen=True, slots=True)
+class SettingProblem:
+    """One thing that is wrong in a settings file."""
+
+    code: ClassVar[str] = "setting_problem"
+    file: str
+    section: str
+    key: str
+    found: str
+    expected: str
+
+    def __str__(self) -> str:
+        return (
+            f"{self.file}: [{self.section}] {self.key}: "
+            f"found {self.found!r}, expected {self.expected}"
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class InvalidSettings:
+    """Everything that is wrong in a settings file."""
+
+    code: ClassVar[str] = "invalid_settings"
+    problems: Sequence[SettingProblem]
+
+    def __str__(self) -> str:
+        return "\n".join(str(problem) for problem in self.problems)
+
+
+class ProblemCode(Enum):
+    """What is wrong with one value or path of the settings tree."""
+
+    UNKNOWN_KEY = "unknown_key"
+    WRONG_TYPE = "wrong_type"
+    WRONG_UNIT = "wrong_unit"
+    OUT_OF_RANGE = "out_of_range"
+    BAD_PATH = "bad_path"
+    TOO_DEEP = "too_deep"
+    TOO_LARGE = "too_large"
+    COMBINATION = "combination"
+
+
+class TreeProblem(NamedTuple):
+    """One thing that is wrong in a change to the settings tree.
+
+    Parameters
+    ----------
+    key
+        The key, several keys joined with ``, ``, or empty if a path is wrong.
+    found
+        What the change asks for, as the operator wrote it.
+    expected
+        What would be accepted.
+    """
+
+    code: ProblemCode
+    path: str
+    key: str
+    found: str
+    expected: str
+
+    def __str__(self) -> str:
+        where = f"{self.path} {self.key}".rstrip()
+        if not where.isprintable():
+            where = ascii(where)
+        return f"{where}: found {self.found!r}, expected {self.expected}"
+
+
+@dataclass(frozen=True, slots=True)
+class RefusedSettings:
+    """Everything that is wrong in a request about the settings tree."""
+
+    code: ClassVar[str] = "refused_settings"
+    problems: tuple[TreeProblem, ...]
+
+    def __str__(self) -> str:
+        return "\n".join(str(problem) for problem in self.problems)
+
+
+@dataclass(frozen=True, slots=True)
+class RevisionConflict:
+    """Another change was accepted after the base revision of this one.
+
+    Parameters
+    ----------
+    revision, operator, at
+        The change in force: its revision, who made it and when.
+    """
+
+    code: ClassVar[str] = "revision_conflict"
+    base: int
+    revision: int
+    operator: str
+    at: datetime
+
+    def __str__(self) -> str:
+        return (
+            f"the change was made against revision {self.base}, but revision "
+            f"{self.revision} by {self.operator} of {self.at.isoformat()} is in force"
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class RevisionAhead:
+    """The base revision is newer than the revision in force at this instance."""
+
+    code: ClassVar[str] = "revision_ahead"
+    base: int
+    revision: int
+
+    def __str__(self) -> str:
+        return (
+            f"base revision {self.base} is newer than revision {self.revision}, which "
+            "is in force at this instance"
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownRevision:
+    """A revision does not exist or is no longer kept."""
+
+    code: ClassVar[str] = "unknown_revision"
+    revision: int
+    oldest: int
+
+    def __str__(self) -> str:
+        return (
+            f"revision {self.revision} does not exist or is no longer kept; the oldest "
+            f"revision kept is {self.oldest}"
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class RequestIdReused:
+    """A request id was used before for another request."""
+
+    code: ClassVar[str] = "request_id_reused"
+    request_id: str
+
+    def __str__(self) -> str:
+        return f"request id {self.request_id!r} was used for another request"
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadableOutcome:
+    """The log decided on a request, but its outcome could not be decoded."""
+
+    code: ClassVar[str] = "unreadable_outcome"
+    request_id: str
+
+    def __str__(self) -> str:
+        return f"the outcome of request {self.request_id!r} could not be read"
+
+
+@dataclass(frozen=True, slots=True)
+class Unauthorized:
+    """A request carries no valid token of an operator."""
+
+    code: ClassVar[str] = "unauthorized"
+
+    def __str__(self) -> str:
+        return "a valid bearer token of an operator is required"
--- /dev/null
+++ b/src/lovagetray/entry/_operators.py
@@ -0,0 +1,57 @@
+"""Tells operators by their tokens."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from hashlib import sha256
+from hmac import compare_digest
+
+from expression import Error, Ok, Result
+
+from lovagetray._errors import Unauthorized
+from lovagetray.entry._router import Route
+from lovagetray.wire import HttpRequest, HttpResponse, encode_failure
+
+OperatorRoute = Callable[[HttpRequest, str, str], Awaitable[HttpResponse]]
+_SCHEME = "bearer"
+
+
+class Operators:
+    """The operators that may use the administration interface.
+
+    Parameters
+    ----------
+    digests
+        SHA-256 digests of the operators' tokens in hexadecimal, by operator.
+    """
+
+    def __init__(self, digests: Mapping[str, str]) -> None:
+        self._digests = dict(digests)
+
+    def authenticate(self, request: HttpRequest) -> Result[str, Unauthorized]:
+        """Return the operator whose token a request carries.
+
+        Every digest is compared, each in constant time, so the time taken tells
+        nothing about the digests or which operator came close.
+        """
+        scheme, _, token = request.headers.get("authorization", "").partition(" ")
+        presented = sha256(token.strip().encode()).hexdigest()
+        found = ""
+        for operator, digest in self._digests.items():
+            if compare_digest(presented, digest):
+                found = operator
+        if not found or scheme.lower() != _SCHEME:
+            return Error(Unauthorized())
+        return Ok(found)
+
+    def guard(self, route: OperatorRoute) -> Route:
+        """Return a route that answers operators only, and tells `route` which one."""
+
+        async def guarded(request: HttpRequest, request_id: str) -> HttpResponse:
+            match self.authenticate(request):
+                case Result(tag="ok", ok=operator):
+                    return await route(request, request_id, operator)
+                case Result(error=unauthorized):
+                    response = encode_failure(unauthorized, request_id)
+                    response.headers["www-authenticate"] = "Bearer"
+                    return response
+
+        return guarded
--- /dev/null
+++ b/src/lovagetray/entry/_settings_command_routes.py
@@ -0,0 +1,130 @@
+"""HTTP routes of operators that change settings."""
+
+from collections.abc import Callable, Iterable
+
+from expression import Result
+
+from lovagetray._errors import Failure
+from lovagetray.commands.settings import (
+    SettingsLog,
+    change_settings,
+    import_tree,
+    roll_back,
+)
+from lovagetray.entry._operators import Operators
+from lovagetray.entry._router import Route
+from lovagetray.queries.settings import dry_run
+from lovagetray.state import Accepted, Origin, SettingsRequest, SettingsState
+from lovagetray.wire import (
+    ChangesDocument,
+    HttpRequest,
+    HttpResponse,
+    ImportDocument,
+    RollBackDocument,
+    change_request,
+    decode_changes,
+    decode_import,
+    decode_roll_back,
+    encode_accepted_change,
+    encode_record,
+    encode_settings_failure,
+    import_request,
+    roll_back_request,
+)
+
+Document = ChangesDocument | RollBackDocument | ImportDocument
+
+
+class SettingsCommandRoutes:
+    """Takes operators' changes of settings.
+
+    Parameters
+    ----------
+    known_paths
+        Returns the paths of known services and data centres, for dry runs.
+    """
+
+    def __init__(
+        self,
+        state: SettingsState,
+        log: SettingsLog,
+        operators: Operators,
+        known_paths: Callable[[], Iterable[str]],
+    ) -> None:
+        self._state = state
+        self._log = log
+        self._operators = operators
+        self._known_paths = known_paths
+
+    def routes(self) -> dict[tuple[str, str], Route]:
+        """Return the routes by method and path; all require an operator's token."""
+        guard = self._operators.guard
+        return {
+            ("POST", "/v1/settings/change"): guard(self.change),
+            ("POST", "/v1/settings/rollback"): guard(self.roll_back),
+            ("POST", "/v1/settings/import"): guard(self.import_tree),
+        }
+
+    async def change(
+        self, request: HttpRequest, request_id: str, operator: str
+    ) -> HttpResponse:
+        """Answer ``POST /v1/settings/change``."""
+        match decode_changes(request.body):
+            case Result(tag="ok", ok=document):
+                origin = _origin(request, request_id, operator, document)
+            case Result(error=malformed):
+                return encode_settings_failure(malformed, request_id)
+        command = change_request(document, origin)
+        if document.get("dry_run", False):
+            return self._dry_run(command)
+        return _answer(await change_settings(self._log, command), origin)
+
+    async def roll_back(
+        self, request: HttpRequest, request_id: str, operator: str
+    ) -> HttpResponse:
+        """Answer ``POST /v1/settings/rollback``."""
+        match decode_roll_back(request.body):
+            case Result(tag="ok", ok=document):
+                origin = _origin(request, request_id, operator, document)
+            case Result(error=malformed):
+                return encode_settings_failure(malformed, request_id)
+        command = roll_back_request(document, origin)
+        if document.get("dry_run", False):
+            return self._dry_run(command)
+        return _answer(await roll_back(self._log, command), origin)
+
+    async def import_tree(
+        self, request: HttpRequest, request_id: str, operator: str
+    ) -> HttpResponse:
+        """Answer ``POST /v1/settings/import``."""
+        match decode_import(request.body):
+            case Result(tag="ok", ok=document):
+                origin = _origin(request, request_id, operator, document)
+            case Result(error=malformed):
+                return encode_settings_failure(malformed, request_id)
+        command = import_request(document, origin)
+        if document.get("dry_run", False):
+            return self._dry_run(command)
+        return _answer(await import_tree(self._log, command), origin)
+
+    def _dry_run(self, command: SettingsRequest) -> HttpResponse:
+        match dry_run(self._state, command, self._known_paths()):
+            case Result(tag="ok", ok=would_change):
+                return encode_record(would_change)
+            case Result(error=failure):
+                return encode_settings_failure(failure, command.origin.request_id)
+
+
+def _origin(
+    request: HttpRequest, request_id: str, operator: str, document: Document
+) -> Origin:
+    chosen = document.get("request_id", request_id)
+    return Origin(operator, request.peer_host, chosen, fingerprint="")
+
+
+def _answer(result: Result[Accepted, Failure], origin: Origin) -> HttpResponse:
+    match result:
+        case Result(tag="ok", ok=accepted):
+            return encode_accepted_change(accepted, origin.request_id)
+        case Result(error=failure):
+            return encode_settings_failure(failure, origin.request_id)
--- /dev/null
+++ b/src/lovagetray/queries/settings/_dry_run.py
@@ -0,0 +1,85 @@
+"""What a change of the settings tree would do, without doing it."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+
+from lovagetray._settings_errors import (
+    RefusedSettings,
+    RevisionAhead,
+    RevisionConflict,
+    UnknownRevision,
+)
+from lovagetray.state import (
+    SETTING_KEYS,
+    Difference,
+    Plan,
+    SettingsRequest,
+    SettingsState,
+    lineage,
+    plan,
+    with_lineage,
+)
+
+DryRunFailure = RefusedSettings | RevisionConflict | RevisionAhead | UnknownRevision
+
+
+class Effect(NamedTuple):
+    """A value in force at a path, before and after the change."""
+
+    path: str
+    key: str
+    old: str
+    new: str
+
+
+class DryRun(NamedTuple):
+    """The keys that a change would set, and the values in force that would change."""
+
+    revision: int
+    differences: tuple[Difference, ...]
+    effects: tuple[Effect, ...]
+
+
+def dry_run(
+    state: SettingsState, request: SettingsRequest, known_paths: Iterable[str]
+) -> Result[DryRun, DryRunFailure]:
+    """Return what a request would change, or why it would be refused.
+
+    Parameters
+    ----------
+    known_paths
+        Paths of known services and data centres; they count also where they have no
+        branch of their own.
+    """
+    revision = state.tree.revision
+    if request.base > revision:
+        return Error(RevisionAhead(request.base, revision))
+    if request.base != revision:
+        return Error(state.conflict(request.base))
+    match plan(state, request):
+        case Result(tag="ok", ok=planned):
+            pass
+        case Result(error=unknown):
+            return Error(unknown)
+    if planned.problems:
+        return Error(RefusedSettings(planned.problems))
+    effects = _effects(planned, known_paths)
+    return Ok(DryRun(revision, planned.differences, effects))
+
+
+def _effects(planned: Plan, known_paths: Iterable[str]) -> tuple[Effect, ...]:
+    before, after = planned.before, planned.after
+    paths = with_lineage([*before.paths, *after.paths, *known_paths])
+    changed: dict[str, set[str]] = {}
+    for one in planned.differences:
+        changed.setdefault(one.path, set()).add(one.key)
+    found = []
+    for path in sorted(paths):
+        keys = {key for branch in lineage(path) for key in changed.get(branch, ())}
+        for key in sorted(keys & SETTING_KEYS.keys()):
+            old, new = before.text(path, key), after.text(path, key)
+            if old != new:
+                found.append(Effect(path, key, old, new))
+    return tuple(found)
--- a/src/lovagetray/state/__init__.py
+++ b/src/lovagetray/state/__init__.py
@@ -1,5 +1,13 @@
 """State that commands change and queries read."""
 
+from lovagetray.state._audit import (
+    Audit,
+    AuditAnchor,
+    AuditEntry,
+    AuditFault,
+    AuditSnapshot,
+    verify_chain,
+)
 from lovagetray.state._directory import Directory, Listing
 from lovagetray.state._members import (
     InstanceRecord,
@@ -13,7 +21,49 @@
     Count,
     Duration,
     Flag,
+    Kind,
     SettingKey,
     Share,
     Value,
 )
+from lovagetray.state._setting_paths import (
+    LEVELS,
+    ROOT,
+    branch_path,
+    lineage,
+    path_problem,
+    with_lineage,
+)
+from lovagetray.state._setting_values import describe_kind, format_value, parse_value
+from lovagetray.state._settings_commands import (
+    Accepted,
+    Action,
+    Branches,
+    Change,
+    ChangeSettings,
+    Difference,
+    ImportTree,
+    Origin,
+    RecordRefusal,
+    Refused,
+    RefusedOutcome,
+    RollBack,
+    SettingsCommand,
+    SettingsOutcome,
+    SetValue,
+    UnsetValue,
+)
+from lovagetray.state._settings_plan import Plan, SettingsRequest, canonical, plan
+from lovagetray.state._settings_state import (
+    Revision,
+    SettingsSnapshot,
+    SettingsState,
+)
+from lovagetray.state._settings_tree import (
+    MAX_BRANCHES,
+    MAX_VALUES,
+    Explanation,
+    SettingsTree,
+    Step,
+    value_problems,
+)
--- /dev/null
+++ b/src/lovagetray/state/_settings_tree.py
@@ -0,0 +1,252 @@
+"""The settings tree: values set at branches and inherited below them."""
+
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+from types import MappingProxyType
+from typing import NamedTuple, TypeVar
+
+from expression import Result
+
+from lovagetray._settings_errors import ProblemCode, TreeProblem
+from lovagetray.state._setting_checks import COMBINATION_CHECKS
+from lovagetray.state._setting_keys import SETTING_KEYS, Value
+from lovagetray.state._setting_paths import lineage, path_problem
+from lovagetray.state._setting_values import format_value, parse_value
+from lovagetray.state._settings_commands import (
+    Branches,
+    Change,
+    Difference,
+    SetValue,
+    UnsetValue,
+)
+
+T = TypeVar("T")
+
+# With names of 32 and values of 32 characters, the largest tree takes 240 KB as JSON
+# and so fits into one HTTP request body of 256 KiB.
+MAX_BRANCHES = 600
+MAX_VALUES = 3_000
+
+
+class Step(NamedTuple):
+    """One branch on the way from the root, and what is set there."""
+
+    path: str
+    text: str | None
+
+
+class Explanation(NamedTuple):
+    """Where the value of a key at a branch comes from.
+
+    Parameters
+    ----------
+    source
+        The branch that sets the value in force; None if it is the default.
+    steps
+        Every branch from the root down to the path.
+    """
+
+    path: str
+    key: str
+    text: str
+    source: str | None
+    steps: tuple[Step, ...]
+
+
+class _Branch(NamedTuple):
+    """What is set at one branch: the texts, and the values this release can read."""
+
+    texts: dict[str, str]
+    values: dict[str, Value]
+
+
+_defaults: dict[str, Value] = {
+    name: parse_value("/", key, key.default).ok for name, key in SETTING_KEYS.items()
+}
+
+
+class SettingsTree:
+    """All settings of one revision; immutable.
+
+    A tree may hold keys or values that this release does not know, because instances
+    of a newer release accepted them; such a value counts as not set.
+
+    Parameters
+    ----------
+    revision
+        The index of the log entry that made this tree; 0 for the empty tree.
+    branches
+        Texts by key by path.
+    """
+
+    def __init__(
+        self, revision: int = 0, branches: Mapping[str, Mapping[str, str]] = {}
+    ) -> None:
+        self._revision = revision
+        self._branches = {
+            path: _read_branch(path, dict(texts))
+            for path, texts in branches.items()
+            if texts
+        }
+
+    @property
+    def revision(self) -> int:
+        """The revision of this tree."""
+        return self._revision
+
+    @property
+    def branches(self) -> Branches:
+        """A copy of the texts by key by path, both in order."""
+        return {
+            path: dict(sorted(branch.texts.items()))
+            for path, branch in sorted(self._branches.items())
+        }
+
+    @property
+    def paths(self) -> list[str]:
+        """The branches at which something is set, in order."""
+        return sorted(self._branches)
+
+    def texts(self, path: str) -> Mapping[str, str]:
+        """Return what is set at a branch itself."""
+        branch = self._branches.get(path)
+        return MappingProxyType({} if branch is None else branch.texts)
+
+    def value(self, path: str, key: str) -> Value:
+        """Return the value in force; KeyError if the key is not in the table."""
+        for branch_path in reversed(lineage(path)):
+            branch = self._branches.get(branch_path)
+            if branch is not None and key in branch.values:
+                return branch.values[key]
+        return _defaults[key]
+
+    def duration(self, path: str, key: str) -> timedelta:
+        """Return the value in force of a duration."""
+        return _typed(timedelta, key, self.value(path, key))
+
+    def share(self, path: str, key: str) -> float:
+        """Return the value in force of a share, in percent."""
+        return _typed(float, key, self.value(path, key))
+
+    def count(self, path: str, key: str) -> int:
+        """Return the value in force of a whole number."""
+        return _typed(int, key, self.value(path, key))
+
+    def flag(self, path: str, key: str) -> bool:
+        """Return the value in force of a flag."""
+        return _typed(bool, key, self.value(path, key))
+
+    def choice(self, path: str, key: str) -> str:
+        """Return the value in force of a choice."""
+        return _typed(str, key, self.value(path, key))
+
+    def text(self, path: str, key: str) -> str:
+        """Return the value in force as an operator would write it."""
+        return format_value(SETTING_KEYS[key].kind, self.value(path, key))
+
+    def explain(self, path: str, key: str) -> Explanation:
+        """Return where the value in force comes from."""
+        branches = lineage(path)
+        source = None
+        for branch_path in branches:
+            branch = self._branches.get(branch_path)
+            if branch is not None and key in branch.values:
+                source = branch_path
+        steps = tuple(Step(one, self.texts(one).get(key)) for one in branches)
+        return Explanation(path, key, self.text(path, key), source, steps)
+
+    def changed_by(self, changes: Iterable[Change], revision: int) -> "SettingsTree":
+        """Return a tree with changes applied in order; this one stays as it is."""
+        texts: Branches = {}
+        for change in changes:
+            branch = texts.setdefault(change.path, dict(self.texts(change.path)))
+            match change:
+                case SetValue(key=key, text=text):
+                    branch[key] = text
+                case UnsetValue(key=key):
+                    branch.pop(key, None)
+        changed = SettingsTree(revision, texts)
+        untouched = {
+            path: branch for path, branch in self._branches.items() if path not in texts
+        }
+        changed._branches = {**untouched, **changed._branches}
+        return changed
+
+    def differences(self, other: "SettingsTree") -> tuple[Difference, ...]:
+        """Return every key that is set differently in `other`, in order."""
+        found = []
+        for path in sorted({*self._branches, *other._branches}):
+            old, new = self.texts(path), other.texts(path)
+            for key in sorted({*old, *new}):
+                if old.get(key) != new.get(key):
+                    found.append(Difference(path, key, old.get(key), new.get(key)))
+        return tuple(found)
+
+    def problems(self) -> tuple[TreeProblem, ...]:
+        """Return everything that is wrong in this tree, in order of paths.
+
+        The values of a tree that is too large are not looked at.
+        """
+        found = self._size_problems()
+        if found:
+            return tuple(found)
+        for path in self.paths:
+            problem = path_problem(path)
+            if problem is not None:
+                found.append(problem)
+            for key, text in self.texts(path).items():
+                found.extend(value_problems(path, key, text))
+        for path in self.paths:
+            found.extend(self._combination_problems(path))
+        return tuple(found)
+
+    def _size_problems(self) -> list[TreeProblem]:
+        found = []
+        values = sum(len(branch.texts) for branch in self._branches.values())
+        for count, limit, unit in (
+            (len(self._branches), MAX_BRANCHES, "branches"),
+            (values, MAX_VALUES, "values"),
+        ):
+            if count > limit:
+                code, expected = ProblemCode.TOO_LARGE, f"at most {limit} {unit}"
+                found.append(TreeProblem(code, "/", "", f"{count} {unit}", expected))
+        return found
+
+    def _combination_problems(self, path: str) -> list[TreeProblem]:
+        found = []
+        for check in COMBINATION_CHECKS:
+            if not check.holds(lambda key: self.value(path, key)):
+                values = ", ".join(self.text(path, key) for key in check.keys)
+                keys = ", ".join(check.keys)
+                code = ProblemCode.COMBINATION
+                found.append(TreeProblem(code, path, keys, values, check.expected))
+        return found
+
+
+def value_problems(path: str, key: str, text: str) -> list[TreeProblem]:
+    """Return what is wrong with one key and its text."""
+    known = SETTING_KEYS.get(key)
+    if known is None:
+        expected = "a key of the settings table"
+        return [TreeProblem(ProblemCode.UNKNOWN_KEY, path, key, key, expected)]
+    match parse_value(path, known, text):
+        case Result(tag="error", error=problem):
+            return [problem]
+        case _:
+            return []
+
+
+def _read_branch(path: str, texts: dict[str, str]) -> _Branch:
+    values: dict[str, Value] = {}
+    for key, text in texts.items():
+        if key in SETTING_KEYS:
+            match parse_value(path, SETTING_KEYS[key], text):
+                case Result(tag="ok", ok=value):
+                    values[key] = value
+    return _Branch(texts, values)
+
+
+def _typed(kind: type[T], key: str, value: Value) -> T:
+    if not isinstance(value, kind):
+        raise TypeError(f"{key} is not of type {kind.__name__}")
+    return value
--- a/src/lovagetray/wire/__init__.py
+++ b/src/lovagetray/wire/__init__.py
@@ -19,6 +19,59 @@
     encode_outcome,
 )
 from lovagetray.wire._peers import Peers
+from lovagetray.wire._settings_answers import (
+    encode_accepted_change,
+    encode_diff,
+    encode_explanation,
+    encode_export,
+    encode_history,
+    encode_record,
+    encode_settings_failure,
+    encode_value,
+)
+from lovagetray.wire._settings_codec import (
+    decode_settings_command,
+    decode_settings_outcome,
+    decode_settings_snapshot,
+    encode_settings_command,
+    encode_settings_outcome,
+    encode_settings_snapshot,
+)
+from lovagetray.wire._settings_documents import (
+    AcceptedDocument,
+    AuditDocument,
+    AuditEntryDocument,
+    AuditFaultDocument,
+    DiffDocument,
+    DifferenceDocument,
+    DryRunDocument,
+    EffectDocument,
+    ExplanationDocument,
+    ExportDocument,
+    HistoryDocument,
+    ProblemDocument,
+    RevisionDocument,
+    SettingsErrorDocument,
+    SettingsFailureDocument,
+    ShownDocument,
+    ShownValueDocument,
+    StepDocument,
+    ValueDocument,
+    WinnerDocument,
+)
+from lovagetray.wire._settings_ini import format_ini, parse_ini
+from lovagetray.wire._settings_json import (
+    ChangeDocument,
+    ChangesDocument,
+    ImportDocument,
+    RollBackDocument,
+    change_request,
+    decode_changes,
+    decode_import,
+    decode_roll_back,
+    import_request,
+    roll_back_request,
+)
 from lovagetray.wire._target_json import (
     decode_announcement,
     decode_sub_reply,
--- a/src/lovagetray/wire/_caller_json.py
+++ b/src/lovagetray/wire/_caller_json.py
@@ -15,11 +15,17 @@
     MalformedRequest,
     Overloaded,
     PeerUnreachable,
+    RefusedSettings,
+    RequestIdReused,
     RequestTooLarge,
     RequestTooSlow,
+    RevisionAhead,
+    RevisionConflict,
     StaleAnnouncement,
     Stopping,
     TimedOut,
+    Unauthorized,
+    UnknownRevision,
     UnknownRoute,
     UnknownService,
     proves_not_run,
@@ -147,18 +153,24 @@
 def failure_status(failure: object) -> int:
     """Return the HTTP status of a failure."""
     match failure:
-        case MalformedRequest() | BadAnnouncement() | InvalidSettings():
+        case MalformedRequest() | BadAnnouncement():
             return 400
-        case UnknownRoute() | UnknownService():
+        case InvalidSettings() | RefusedSettings():
+            return 400
+        case Unauthorized():
+            return 401
+        case UnknownRoute() | UnknownService() | UnknownRevision():
             return 404
         case RequestTooSlow():
             return 408
-        case StaleAnnouncement():
+        case StaleAnnouncement() | RevisionConflict() | RequestIdReused():
             return 409
         case RequestTooLarge():
             return 413
         case Overloaded() | Stopping() | PeerUnreachable() | Incomplete():
             return 503
+        case RevisionAhead():
+            return 503
         case DeadlinePassed() | TimedOut():
             return 504
         case _:
--- /dev/null
+++ b/src/lovagetray/wire/_settings_json.py
@@ -0,0 +1,124 @@
+"""JSON of the administration interface: what operators send."""
+
+from typing import NotRequired, TypedDict, TypeVar
+
+from expression import Error, Ok, Result
+from msgspec import DecodeError, ValidationError
+from msgspec.json import Decoder
+
+from lovagetray._errors import MalformedRequest
+from lovagetray.state import (
+    Branches,
+    Change,
+    ChangeSettings,
+    ImportTree,
+    Origin,
+    RollBack,
+    SetValue,
+    UnsetValue,
+)
+
+MAX_REQUEST_ID_LENGTH = 128
+
+
+class ChangeDocument(TypedDict):
+    """One change; without a value, or with null, the key is unset."""
+
+    path: str
+    key: str
+    value: NotRequired[str | None]
+
+
+class ChangesDocument(TypedDict):
+    """The body of ``POST /v1/settings/change``."""
+
+    base: int
+    changes: list[ChangeDocument]
+    request_id: NotRequired[str]
+    dry_run: NotRequired[bool]
+
+
+class RollBackDocument(TypedDict):
+    """The body of ``POST /v1/settings/rollback``."""
+
+    base: int
+    to_revision: int
+    request_id: NotRequired[str]
+    dry_run: NotRequired[bool]
+
+
+class ImportDocument(TypedDict):
+    """The body of ``POST /v1/settings/import``: texts by key by path."""
+
+    base: int
+    branches: Branches
+    request_id: NotRequired[str]
+    dry_run: NotRequired[bool]
+
+
+Document = TypeVar("Document", ChangesDocument, RollBackDocument, ImportDocument)
+
+_changes_decoder = Decoder(ChangesDocument)
+_roll_back_decoder = Decoder(RollBackDocument)
+_import_decoder = Decoder(ImportDocument)
+_DECODE_ERRORS = (DecodeError, ValidationError, UnicodeDecodeError, RecursionError)
+
+
+def decode_changes(body: bytes) -> Result[ChangesDocument, MalformedRequest]:
+    """Return the document of a change, or why it is malformed."""
+    try:
+        document = _changes_decoder.decode(body)
+    except _DECODE_ERRORS as error:
+        return Error(MalformedRequest(str(error)))
+    if not document["changes"]:
+        return Error(MalformedRequest("there are no changes"))
+    return _checked(document)
+
+
+def decode_roll_back(body: bytes) -> Result[RollBackDocument, MalformedRequest]:
+    """Return the document of a rollback, or why it is malformed."""
+    try:
+        return _checked(_roll_back_decoder.decode(body))
+    except _DECODE_ERRORS as error:
+        return Error(MalformedRequest(str(error)))
+
+
+def decode_import(body: bytes) -> Result[ImportDocument, MalformedRequest]:
+    """Return the document of an import, or why it is malformed."""
+    try:
+        return _checked(_import_decoder.decode(body))
+    except _DECODE_ERRORS as error:
+        return Error(MalformedRequest(str(error)))
+
+
+def change_request(document: ChangesDocument, origin: Origin) -> ChangeSettings:
+    """Return the command that a document asks for."""
+    changes = tuple(map(_change, document["changes"]))
+    return ChangeSettings(origin, document["base"], changes)
+
+
+def roll_back_request(document: RollBackDocument, origin: Origin) -> RollBack:
+    """Return the command that a document asks for."""
+    return RollBack(origin, document["base"], document["to_revision"])
+
+
+def import_request(document: ImportDocument, origin: Origin) -> ImportTree:
+    """Return the command that a document asks for."""
+    return ImportTree(origin, document["base"], document["branches"])
+
+
+def _checked(document: Document) -> Result[Document, MalformedRequest]:
+    if document["base"] < 0:
+        return Error(MalformedRequest("base must be a revision"))
+    request_id = document.get("request_id", "-")
+    if not 1 <= len(request_id) <= MAX_REQUEST_ID_LENGTH:
+        expected = f"request_id must have 1 to {MAX_REQUEST_ID_LENGTH} characters"
+        return Error(MalformedRequest(expected))
+    return Ok(document)
+
+
+def _change(document: ChangeDocument) -> Change:
+    text = document.get("value")
+    if text is None:
+        return UnsetValue(document["path"], document["key"])
+    return SetValue(document["path"], document["key"], text)
