--- a/src/lovagetray/_process_settings.py
+++ b/src/lovagetray/_process_settings.py
@@ -34,18 +34,84 @@
     operators: dict[str, str]
 
 
-_KNOWN_KEYS = {
-    "instance": {
+class ProcessKey(NamedTuple):
+    """One key of the file of a process.
+
+    Parameters
+    ----------
+    name
+        The key; in angle brackets where the operator chooses it.
+    expected
+        What values look like.
+    """
+
+    section: str
+    name: str
+    expected: str
+    required: bool
+    meaning: str
+
+
+PROCESS_KEYS: tuple[ProcessKey, ...] = (
+    ProcessKey(
+        "instance",
         "name",
+        "a name",
+        True,
+        "Name of the instance; its peers and voters use it.",
+    ),
+    ProcessKey(
+        "instance",
         "data_centre",
-        "host",
-        "http_port",
-        "peer_port",
+        "a name",
+        True,
+        "Data centre of the instance; callers and targets in it are preferred.",
+    ),
+    ProcessKey(
+        "instance", "host", "an IP address", True, "Address that the instance binds."
+    ),
+    ProcessKey(
+        "instance", "http_port", "1 to 65535", True, "Port for callers and operators."
+    ),
+    ProcessKey(
+        "instance", "peer_port", "1 to 65535", True, "Port for other instances."
+    ),
+    ProcessKey(
+        "instance",
         "data_folder",
-    },
-    "agreement": {"voters"},
-}
-_FREE_SECTIONS = {"peers", "operators"}
+        "a folder",
+        False,
+        "Where the durable state lives; left out on an instance without a disk.",
+    ),
+    ProcessKey(
+        "peers",
+        "<instance>",
+        "IP:port",
+        False,
+        "Peer address of another instance; the key is its name.",
+    ),
+    ProcessKey(
+        "agreement",
+        "voters",
+        "names of instances",
+        False,
+        "Instances that vote when the system starts first; each needs a data folder.",
+    ),
+    ProcessKey(
+        "operators",
+        "<operator>",
+        "64 hexadecimal digits",
+        False,
+        "SHA-256 digest of an operator's token; the key is the operator's name.",
+    ),
+)
+
+_FREE_SECTIONS = {key.section for key in PROCESS_KEYS if key.name.startswith("<")}
+_KNOWN_KEYS: dict[str, set[str]] = {}
+for _key in PROCESS_KEYS:
+    if _key.section not in _FREE_SECTIONS:
+        _KNOWN_KEYS.setdefault(_key.section, set()).add(_key.name)
+
 _DIGEST_LENGTH = 64
 
 
--- a/src/lovagetray/cli/_exit_codes.py
+++ b/src/lovagetray/cli/_exit_codes.py
@@ -12,3 +12,5 @@
     INVALID_SETTINGS = 3
     UNREACHABLE = 4
     INCOMPLETE = 5
+    CONFLICT = 6
+    UNKNOWN = 7
--- a/src/lovagetray/cli/_main.py
+++ b/src/lovagetray/cli/_main.py
@@ -5,8 +5,10 @@
 from importlib.metadata import PackageNotFoundError, version
 from typing import Any
 
+from lovagetray.cli._settings import add_settings_parser
 from lovagetray.cli.commands import add_entry_parser
 from lovagetray.cli.queries import (
+    add_audit_parser,
     add_check_settings_parser,
     add_query_parser,
     add_status_parser,
@@ -19,6 +21,8 @@
   3  invalid settings
   4  no instance could be reached
   5  the answer is incomplete
+  6  another change was accepted after the base revision
+  7  it is not known whether the change was accepted; resend it with its request id
 """
 
 _Adder = Callable[[Any], None]
@@ -26,6 +30,8 @@
     add_entry_parser,
     add_query_parser,
     add_status_parser,
+    add_settings_parser,
+    add_audit_parser,
     add_check_settings_parser,
 )
 
--- a/src/lovagetray/entry/_operators.py
+++ b/src/lovagetray/entry/_operators.py
@@ -33,7 +33,7 @@
         nothing about the digests or which operator came close.
         """
         scheme, _, token = request.headers.get("authorization", "").partition(" ")
-        presented = sha256(token.strip().encode()).hexdigest()
+        presented = sha256(token.strip().encode("latin-1", "replace")).hexdigest()
         found = ""
         for operator, digest in self._digests.items():
             if compare_digest(presented, digest):
--- a/src/lovagetray/state/__init__.py
+++ b/src/lovagetray/state/__init__.py
@@ -15,6 +15,7 @@
     Members,
     Sighting,
 )
+from lovagetray.state._setting_checks import COMBINATION_CHECKS
 from lovagetray.state._setting_keys import (
     SETTING_KEYS,
     Choice,
@@ -28,13 +29,19 @@
 )
 from lovagetray.state._setting_paths import (
     LEVELS,
+    MAX_NAME_LENGTH,
     ROOT,
     branch_path,
     lineage,
     path_problem,
     with_lineage,
 )
-from lovagetray.state._setting_values import describe_kind, format_value, parse_value
+from lovagetray.state._setting_values import (
+    MAX_VALUE_LENGTH,
+    describe_kind,
+    format_value,
+    parse_value,
+)
 from lovagetray.state._settings_commands import (
     Accepted,
     Action,
--- a/src/lovagetray/state/_audit.py
+++ b/src/lovagetray/state/_audit.py
@@ -103,6 +103,11 @@
         """The entries kept, the oldest first."""
         return tuple(self._entries)
 
+    @property
+    def anchor(self) -> AuditAnchor:
+        """The last entry that was pruned."""
+        return self._anchor
+
     @property
     def newest(self) -> int:
         """The sequence number of the newest entry; 0 if there never was one."""
--- a/src/lovagetray/wire/__init__.py
+++ b/src/lovagetray/wire/__init__.py
@@ -61,6 +61,7 @@
 )
 from lovagetray.wire._settings_ini import format_ini, parse_ini
 from lovagetray.wire._settings_json import (
+    MAX_REQUEST_ID_LENGTH,
     ChangeDocument,
     ChangesDocument,
     ImportDocument,
