--- a/src/lovagetray/state/__init__.py
+++ b/src/lovagetray/state/__init__.py
@@ -1,5 +1,13 @@
 """State that commands change and queries read."""
 
+from lovagetray.state._audit import (
+    Audit,
+    AuditAnchor,
+    AuditEntry,
+    AuditFault,
+    AuditSnapshot,
+    verify_chain,
+)
 from lovagetray.state._directory import Directory, Listing
 from lovagetray.state._ledger import (
     AlreadyBegun,
@@ -33,13 +41,62 @@
     Members,
     Sighting,
 )
+from lovagetray.state._setting_checks import COMBINATION_CHECKS
 from lovagetray.state._setting_keys import (
     SETTING_KEYS,
     Choice,
     Count,
     Duration,
     Flag,
+    Kind,
     SettingKey,
     Share,
     Value,
 )
+from lovagetray.state._setting_paths import (
+    LEVELS,
+    MAX_NAME_LENGTH,
+    ROOT,
+    branch_path,
+    lineage,
+    path_problem,
+    with_lineage,
+)
+from lovagetray.state._setting_values import (
+    MAX_VALUE_LENGTH,
+    describe_kind,
+    format_value,
+    parse_value,
+)
+from lovagetray.state._settings_commands import (
+    Accepted,
+    Action,
+    Branches,
+    Change,
+    ChangeSettings,
+    Difference,
+    ImportTree,
+    Origin,
+    RecordRefusal,
+    Refused,
+    RefusedOutcome,
+    RollBack,
+    SettingsCommand,
+    SettingsOutcome,
+    SetValue,
+    UnsetValue,
+)
+from lovagetray.state._settings_plan import Plan, SettingsRequest, canonical, plan
+from lovagetray.state._settings_state import (
+    Revision,
+    SettingsSnapshot,
+    SettingsState,
+)
+from lovagetray.state._settings_tree import (
+    MAX_BRANCHES,
+    MAX_VALUES,
+    Explanation,
+    SettingsTree,
+    Step,
+    value_problems,
+)
