--- a/features/settings_changes.feature
+++ b/features/settings_changes.feature
@@ -64,6 +64,12 @@
     Then the values that would change are at "/user /user/invoices"
     And revision 1 is in force
 
+  Scenario: A dry run learns of services from announcements
+    Given an empty settings tree
+    And a target of "user/mail" in "oulu" was announced
+    When an operator tries "hedge.budget" at "/user" with "7"
+    Then the values that would change are at "/user /user/mail /user/mail/oulu"
+
   Scenario: A revision that falls is reported and not applied
     Given an empty settings tree
     And an operator sets "hedge.budget" to "4" at "/"
@@ -93,6 +99,7 @@
       | 4    | 3     | removed                      | 3     |
       | 6    | 3     | edited                       | 3     |
       | 6    | 3     | edited and its hash replaced | 4     |
+      | 6    | 5     | cut out of the chain         | 5     |
 
   Scenario: Random changes agree with plain models
     Then values, history and encodings of random trees agree with plain models
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -1,6 +1,6 @@
 """Steps that change settings through the routes of one instance."""
 
-from datetime import datetime
+from datetime import datetime, timedelta
 from typing import Any
 
 from behave import given, step, then, when
@@ -9,12 +9,22 @@
 from fakes.settings_bench import START, SettingsBench
 
 from lovagetray._proposals import Proposal
+from lovagetray._types import (
+    Address,
+    Announcement,
+    Holding,
+    Load,
+    Snapshot,
+    TargetState,
+)
 from lovagetray._violations import Violations
+from lovagetray.queries.settings import announced_paths
 from lovagetray.state import (
     Audit,
     AuditAnchor,
     AuditEntry,
     ChangeSettings,
+    Directory,
     Origin,
     SettingsSnapshot,
     SettingsState,
@@ -100,6 +110,17 @@
     context.bench.known_paths = set(paths.split())
 
 
+@given('a target of "{service}" in "{data_centre}" was announced')
+def announce(context: Context, service: str, data_centre: str) -> None:
+    directory = Directory(timedelta(seconds=3))
+    holding = Holding(Snapshot(1, "a", 1), 0)
+    place = (data_centre, Address("127.0.0.1", 1), TargetState.READY, (holding,))
+    load = (5, 40, timedelta(0), Load(0, 0))
+    announcement = Announcement(service, "t-1", 1, 1, *place, *load)
+    assert directory.accept(announcement, timedelta(0)).is_ok()
+    context.bench.known_paths = announced_paths(directory)
+
+
 @when('an operator tries "{key}" at "{path}" with "{value}"')
 def try_value(context: Context, key: str, path: str, value: str) -> None:
     changes = [{"path": path, "key": key, "value": value}]
@@ -229,6 +250,10 @@
     match fault:
         case "removed":
             del context.entries[sequence]
+        case "cut out of the chain":
+            del context.entries[sequence]
+            after = context.entries[sequence + 1]._replace(previous=entry.previous)
+            context.entries[sequence + 1] = after._replace(hash=entry_hash(after))
         case "edited":
             context.entries[sequence] = entry._replace(operator="nikos")
         case "edited and its hash replaced":
--- a/src/lovagetray/state/_settings_tree.py
+++ b/src/lovagetray/state/_settings_tree.py
@@ -176,6 +176,9 @@
         """Return every key that is set differently in `other`, in order."""
         found = []
         for path in sorted({*self._branches, *other._branches}):
+            # Trees share the branches that a change left alone.
+            if self._branches.get(path) is other._branches.get(path):
+                continue
             old, new = self.texts(path), other.texts(path)
             for key in sorted({*old, *new}):
                 if old.get(key) != new.get(key):
