--- /dev/null
+++ b/features/fakes/agreement_cluster.py
@@ -0,0 +1,236 @@
+"""Instances of the replicated log on fake hosts, and the runs that disturb them."""
+
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+from typing import Any, NamedTuple
+
+from curio import TaskGroup, sleep, spawn
+from expression import Result
+from fakes.agreement_model import ChainMachine, Model
+from fakes.agreement_parts import (
+    Host,
+    HostClock,
+    Network,
+    Session,
+    SessionDisk,
+    SessionLink,
+    Store,
+)
+
+from lovagetray._log_entries import Voter
+from lovagetray._peer_messages import AgreementMessage
+from lovagetray._violations import Violations
+from lovagetray.commands.agreement import (
+    Agreement,
+    AgreementSettings,
+    Replica,
+    Surroundings,
+)
+from lovagetray.wire import decode_vote
+
+
+class Parts(NamedTuple):
+    """What a run is built from; a test replaces one part by a broken one."""
+
+    replica_type: type[Replica] = Replica
+    store_type: type[Store] = Store
+    settings: AgreementSettings = AgreementSettings()
+
+
+class Instance:
+    """One instance, across its restarts."""
+
+    def __init__(self, cluster: "Cluster", name: str, durable: bool) -> None:
+        self.name = name
+        self.durable = durable
+        self.host = Host(Random(cluster.random.random()))
+        self.clock = HostClock(self.host)
+        self.store = cluster.parts.store_type(self.host.random)
+        self.violations = Violations()
+        self.agreement: Agreement | None = None
+        self.session: Session | None = None
+        self._cluster = cluster
+        self._task: Any = None
+
+    @property
+    def running(self) -> Agreement | None:
+        """The agreement, unless the instance is down, starting or frozen."""
+        return None if self.host.frozen else self.agreement
+
+    @property
+    def identity(self) -> Voter | None:
+        """The identity on the disk."""
+        vote = self.store.durable.get("vote")
+        if vote is None:
+            return None
+        return Voter(self.name, decode_vote(vote).ok.incarnation)
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.session = Session(self.host, self.stop)
+        self._task = await spawn(self._live, self.session, daemon=True)
+
+    async def stop(self) -> None:
+        """Kill the process and lose what was not synced."""
+        if self.session is None:
+            return
+        self.session.alive = False
+        self.session = self.agreement = None
+        self._cluster.counts["crashes"] += 1
+        self.store.crash()
+        await spawn(self._cancel, self._task, daemon=True)
+
+    async def _cancel(self, task: Any) -> None:
+        await task.cancel()
+
+    async def _live(self, session: Session) -> None:
+        cluster = self._cluster
+        surroundings = Surroundings(
+            self.name,
+            cluster.founders,
+            self.durable,
+            self.clock,
+            SessionLink(cluster.network, self.name, session),
+            cluster.parts.settings,
+            self.violations,
+            Random(self.host.random.random()),
+        )
+        disk = SessionDisk(self.store, session) if self.durable else None
+        machine = ChainMachine(cluster.model)
+        opened = await Agreement.open(
+            surroundings, disk, machine, cluster.parts.replica_type
+        )
+        match opened:
+            case Result(tag="ok", ok=agreement):
+                for name in cluster.instances:
+                    await agreement.add_peer(name)
+                if session.alive:
+                    self.agreement = agreement
+                    self.machine = machine
+                await agreement.run()
+            case Result(error=failure):
+                cluster.model.report(f"{self.name}: {failure}")
+
+
+class Cluster:
+    """Instances that share a network and are compared with one model."""
+
+    def __init__(self, random: Random, parts: Parts) -> None:
+        self.random = random
+        self.parts = parts
+        self.model = Model()
+        self.counts: Counter[str] = Counter()
+        self.founders: tuple[str, ...] = ()
+        self.instances: dict[str, Instance] = {}
+        self.network = Network(
+            Random(random.random()), self._deliver, self.model.saw_message
+        )
+
+    async def run(self, voters: int, learners: int, *work: Callable[..., Any]) -> None:
+        """Start the instances and do `work` until all of it has ended."""
+        self.founders = tuple(f"v{number}" for number in range(voters))
+        for name in self.founders:
+            self.instances[name] = Instance(self, name, durable=True)
+        for number in range(learners):
+            self.instances[f"l{number}"] = Instance(self, f"l{number}", False)
+        network = await spawn(self.network.run, daemon=True)
+        watcher = await spawn(self._watch, daemon=True)
+        for instance in list(self.instances.values()):
+            await instance.start()
+        async with TaskGroup() as group:
+            for one in work:
+                await group.spawn(one)
+        for instance in self.instances.values():
+            await instance.stop()
+        await network.cancel()
+        await watcher.cancel()
+        if group.exception is not None:
+            raise group.exception
+
+    async def join(self, name: str, durable: bool) -> None:
+        """Add an instance while the others run."""
+        self.instances[name] = Instance(self, name, durable)
+        for instance in self.instances.values():
+            if instance.agreement is not None:
+                await instance.agreement.add_peer(name)
+        await self.instances[name].start()
+
+    def leader(self) -> Instance | None:
+        """Return the running instance that leads the newest term."""
+        leading = [
+            (instance.agreement.term, instance.name)
+            for instance in self.instances.values()
+            if instance.running and instance.running.leader == instance.name
+        ]
+        return self.instances[max(leading)[1]] if leading else None
+
+    def spare_disk(self, name: str) -> bool:
+        """Tell whether every known voter set keeps a majority without this disk."""
+        intact = {one.identity for one in self.instances.values() if one.name != name}
+        known = [one.agreement for one in self.instances.values() if one.agreement]
+        sets = [agreement.voters for agreement in known if agreement.voters.voters]
+        return bool(sets) and all(one.majority_of(intact) for one in sets)
+
+    def find_problems(self) -> tuple[str, ...]:
+        """Return every contradiction with the model and every reported violation."""
+        reported = [
+            f"{instance.name}: {violation}"
+            for instance in self.instances.values()
+            for violation in instance.violations.found
+        ]
+        return (*self.model.problems, *reported)
+
+    async def settle(self) -> None:
+        """End all faults and wait until every instance holds the same state."""
+        self.network.cuts.clear()
+        self.network.loss = self.network.doubling = 0.0
+        for instance in list(self.instances.values()):
+            instance.host.frozen_until = 0.0
+            if instance.session is not None:
+                instance.session.syncs_to_crash = None
+            else:
+                await instance.start()
+        for _ in range(300):
+            await sleep(0.1)
+            if self._settled():
+                break
+        else:
+            self.model.report(f"no agreement 30 s after the last fault: {self._view()}")
+        self.model.finish()
+
+    def _settled(self) -> bool:
+        agreements = [instance.agreement for instance in self.instances.values()]
+        leader = self.leader()
+        if leader is None or None in agreements:
+            return False
+        states = {instance.machine.state for instance in self.instances.values()}
+        applied = {agreement.applied_index for agreement in agreements if agreement}
+        voters = leader.agreement.voters
+        return len(states) == len(applied) == 1 and not voters.awaited
+
+    def _view(self) -> list[Any]:
+        return [
+            (one.name, one.agreement.term, one.agreement.leader, one.agreement.voters)
+            for one in self.instances.values()
+            if one.agreement is not None
+        ]
+
+    async def _deliver(self, sender: str, name: str, message: AgreementMessage) -> bool:
+        instance = self.instances.get(name)
+        if instance is None or instance.agreement is None:
+            return True
+        if instance.host.frozen:
+            return False
+        await instance.agreement.handle(sender, message)
+        return True
+
+    async def _watch(self) -> None:
+        """Read on every instance that claims to be current."""
+        while True:
+            await sleep(0.02)
+            for instance in self.instances.values():
+                agreement = instance.running
+                if agreement is not None and agreement.reads_current():
+                    self.counts["reads"] += 1
+                    self.model.read(instance.name, agreement.applied_index)
--- /dev/null
+++ b/features/fakes/agreement_runs.py
@@ -0,0 +1,190 @@
+"""Randomised runs of the replicated log, each reproducible from its seed."""
+
+from datetime import timedelta
+from random import Random
+import time
+from typing import NamedTuple
+
+from curio import sleep
+from expression import Result
+from fakes.agreement_cluster import Cluster, Instance, Parts
+from fakes.virtual_time import run_virtual
+
+from lovagetray._errors import Failure
+from lovagetray.commands.agreement import AgreementSettings, Proposal
+
+_SETTINGS = AgreementSettings(
+    snapshot_every=15,
+    batch_bytes=400,
+    chunk_bytes=150,
+    retention=timedelta(seconds=20),
+)
+
+
+class Plan(NamedTuple):
+    """How a run is disturbed.
+
+    Parameters
+    ----------
+    faults
+        Names of the faults to choose from, repeated for a higher share.
+    seconds
+        Virtual time until all faults end.
+    pause
+        Longest virtual time between two faults, in seconds.
+    """
+
+    faults: tuple[str, ...]
+    seconds: float = 30.0
+    pause: float = 1.5
+
+
+EVERYTHING = Plan(
+    ("crash", "crash_at_sync", "crash_at_sync", "freeze", "cut", "cut", "cut_one_way")
+    + ("heal", "heal", "noise", "lose_disk", "hand_over", "join", "add", "remove")
+)
+
+
+class RunReport(NamedTuple):
+    """What a run did and found."""
+
+    seed: int
+    problems: tuple[str, ...]
+    counts: dict[str, int]
+
+
+def run_seed(seed: int, plan: Plan = EVERYTHING, parts: Parts = Parts()) -> RunReport:
+    """Run a cluster in virtual time and compare it with a single copy."""
+    parts = parts._replace(settings=_SETTINGS)
+    run = _Run(seed, plan, parts)
+    run_virtual(run.all)
+    cluster = run.cluster
+    counts = dict(cluster.counts) | {
+        "accepted": len(cluster.model.accepted),
+        "terms": cluster.model.terms,
+        "entries": cluster.model.highest,
+    }
+    return RunReport(seed, cluster.find_problems(), counts)
+
+
+class _Run:
+    def __init__(self, seed: int, plan: Plan, parts: Parts) -> None:
+        self._random = Random(seed)
+        self._plan = plan
+        self.cluster = Cluster(Random(seed + 1_000_000), parts)
+        self._proposals: list[Proposal] = []
+        self._over = False
+
+    async def all(self) -> None:
+        voters = self._random.choice((3, 3, 5))
+        learners = self._random.choice((0, 1, 2))
+        clients = [self._propose] * 3
+        await self.cluster.run(voters, learners, self._disturb, *clients)
+
+    async def _propose(self) -> None:
+        """Propose new changes and resend old ones, through any instance."""
+        while not self._over:
+            await sleep(self._random.uniform(0.01, 0.4))
+            instance = self._random.choice(list(self.cluster.instances.values()))
+            agreement = instance.running
+            if agreement is None:
+                continue
+            proposal = self._next_proposal(instance)
+            result = await agreement.propose(proposal)
+            self.cluster.model.outcome(proposal, result)
+            self._count(result)
+
+    def _next_proposal(self, instance: Instance) -> Proposal:
+        chance = self._random.random()
+        if self._proposals and chance < 0.3:
+            return self._random.choice(self._proposals[-40:])
+        number = len(self._proposals)
+        request_id, at = f"r{number}", instance.clock.now()
+        if self._proposals and chance < 0.35:
+            request_id, at, _ = self._random.choice(self._proposals[-40:])
+        proposal = Proposal(request_id, at, b"body %d" % number)
+        self._proposals.append(proposal)
+        return proposal
+
+    def _count(self, result: Result[bytes, Failure]) -> None:
+        match result:
+            case Result(tag="ok"):
+                self.cluster.counts["outcome ok"] += 1
+            case Result(error=failure):
+                self.cluster.counts[f"outcome {failure.code}"] += 1
+
+    async def _disturb(self) -> None:
+        cluster, random = self.cluster, self._random
+        left = self._plan.seconds
+        while left > 0:
+            pause = random.uniform(0.05, self._plan.pause)
+            left -= pause
+            await sleep(pause)
+            fault = random.choice(self._plan.faults)
+            cluster.counts[f"fault {fault}"] += 1
+            await self._do(fault, random.choice(list(cluster.instances.values())))
+            for instance in cluster.instances.values():
+                if instance.session is None and random.random() < 0.5:
+                    await instance.start()
+        await cluster.settle()
+        self._over = True
+
+    async def _do(self, fault: str, victim: Instance) -> None:
+        cluster, network, random = self.cluster, self.cluster.network, self._random
+        others = [name for name in cluster.instances if name != victim.name]
+        leader = cluster.leader()
+        match fault:
+            case "crash":
+                await victim.stop()
+                if random.random() < 0.5:
+                    victim.host.restart_clock()
+            case "crash_leader" if leader is not None:
+                await leader.stop()
+            case "crash_at_sync" if victim.session is not None:
+                victim.session.syncs_to_crash = random.randint(1, 20)
+            case "freeze":
+                await self._freeze(victim)
+            case "cut":
+                network.cuts |= {(victim.name, name) for name in others}
+                network.cuts |= {(name, victim.name) for name in others}
+            case "cut_leader" if leader is not None:
+                names = [name for name in cluster.instances if name != leader.name]
+                network.cuts |= {(leader.name, name) for name in names}
+                network.cuts |= {(name, leader.name) for name in names}
+            case "cut_one_way":
+                network.cuts.add((victim.name, random.choice(others)))
+            case "heal":
+                network.cuts.clear()
+            case "noise":
+                network.loss = random.choice((0.0, 0.02, 0.2))
+                network.doubling = random.choice((0.0, 0.1))
+                network.longest_delay = random.choice((0.003, 0.03, 0.3))
+            case "lose_disk" if victim.durable and cluster.spare_disk(victim.name):
+                cluster.counts["lost disks"] += 1
+                await victim.stop()
+                victim.store.lose()
+            case _:
+                await self._operate(fault, leader)
+
+    async def _freeze(self, victim: Instance) -> None:
+        victim.host.frozen_until = time.monotonic() + self._random.uniform(0.2, 5)
+
+    async def _operate(self, fault: str, leader: Instance | None) -> None:
+        """Do what an operator does."""
+        cluster, random = self.cluster, self._random
+        match fault:
+            case "join" if len(cluster.instances) < 7:
+                name = f"j{len(cluster.instances)}"
+                await cluster.join(name, durable=random.random() < 0.7)
+            case "hand_over" if leader is not None and leader.running:
+                done = await leader.running.hand_over()
+                cluster.counts[f"hand over {done.tag}"] += 1
+            case "add" if leader is not None and leader.running:
+                name = random.choice(list(cluster.instances))
+                done = await leader.running.add_voter(name)
+                cluster.counts[f"add voter {done.tag}"] += 1
+            case "remove" if leader is not None and leader.running:
+                names = leader.running.voters.names
+                if len(names) > 3:
+                    done = await leader.running.remove_voter(random.choice(names))
+                    cluster.counts[f"remove voter {done.tag}"] += 1
--- a/src/lovagetray/_peer_messages.py
+++ b/src/lovagetray/_peer_messages.py
@@ -4,6 +4,13 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
+from lovagetray._log_entries import (
+    Entry,
+    FollowerBeat,
+    LeaderBeat,
+    Proposal,
+    Voter,
+)
 from lovagetray._types import Announcement, InstanceId, SubReply, SubRequest
 from lovagetray.state import InstanceRecord
 
@@ -81,6 +88,132 @@
     request_ids: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class VoteRequest:
+    """Asks for a vote in `term`.
+
+    Parameters
+    ----------
+    trial
+        A pre-vote: the receiver only says whether it would vote.
+    transfer
+        The leader of the term before asked the candidate to take over.
+    """
+
+    term: int
+    candidate: Voter
+    last_index: int
+    last_term: int
+    trial: bool
+    transfer: bool
+
+
+@dataclass(frozen=True, slots=True)
+class VoteReply:
+    """Answers a vote request for `ballot_term`; `term` is the sender's own."""
+
+    term: int
+    ballot_term: int
+    voter: Voter
+    trial: bool
+    granted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AppendEntries:
+    """Entries that follow `previous_index`; without entries a heartbeat."""
+
+    beat: LeaderBeat
+    previous_index: int
+    previous_term: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AppendReply:
+    """What the sender's synced log shares with the leader's.
+
+    Parameters
+    ----------
+    index
+        If accepted, the last index known to be equal; otherwise where to try next.
+    """
+
+    beat: FollowerBeat
+    accepted: bool
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotChunk:
+    """A part of the encoded snapshot of `size` bytes up to an index."""
+
+    beat: LeaderBeat
+    index: int
+    offset: int
+    size: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotReply:
+    """How many bytes of the snapshot up to an index the sender holds."""
+
+    beat: FollowerBeat
+    index: int
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class TakeOver:
+    """The leader of `term` asks the receiver to become leader in the next."""
+
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardProposal:
+    """A proposal for the leader of `term`.
+
+    The term makes a refusal final: a late copy of the message cannot be appended after
+    the sender was told that nothing was.
+    """
+
+    term: int
+    proposal: Proposal
+
+
+@dataclass(frozen=True, slots=True)
+class ProposalAccepted:
+    """The committed outcome of a forwarded proposal."""
+
+    request_id: str
+    digest: bytes
+    reply: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ProposalRefused:
+    """Why a forwarded proposal had no effect."""
+
+    request_id: str
+    digest: bytes
+    failure: FailureFrame
+
+
+AgreementMessage = (
+    VoteRequest
+    | VoteReply
+    | AppendEntries
+    | AppendReply
+    | SnapshotChunk
+    | SnapshotReply
+    | TakeOver
+    | ForwardProposal
+    | ProposalAccepted
+    | ProposalRefused
+)
+
 PeerMessage = (
     Heartbeat
     | Announced
@@ -88,6 +221,7 @@
     | RunSubRequests
     | SubRequestOutcomes
     | CancelSubRequests
+    | AgreementMessage
 )
 
 
--- /dev/null
+++ b/src/lovagetray/commands/agreement/_agreement.py
@@ -0,0 +1,209 @@
+"""The replicated log of one instance: its tasks and its interface."""
+
+from collections.abc import Mapping
+
+from curio import Queue, TaskGroup
+from expression import Error, Ok, Result
+
+from lovagetray._errors import Failure, LogCorrupted, NoLeader, NotLeader
+from lovagetray._log_entries import Proposal, Voter, VoterSet
+from lovagetray._peer_messages import (
+    AgreementMessage,
+    AppendEntries,
+    AppendReply,
+    ForwardProposal,
+    ProposalAccepted,
+    ProposalRefused,
+    SnapshotChunk,
+    SnapshotReply,
+    TakeOver,
+    VoteReply,
+    VoteRequest,
+)
+from lovagetray.commands.agreement._applying import Applier
+from lovagetray.commands.agreement._disk import NoDisk
+from lovagetray.commands.agreement._durable_log import DurableLog
+from lovagetray.commands.agreement._election import Election
+from lovagetray.commands.agreement._following import Follower
+from lovagetray.commands.agreement._membership import ChangeFailure, Membership
+from lovagetray.commands.agreement._outcomes import Outcomes
+from lovagetray.commands.agreement._proposals import Proposals
+from lovagetray.commands.agreement._protocols import Disk, StateMachine
+from lovagetray.commands.agreement._replica import Replica, Surroundings
+from lovagetray.commands.agreement._replication import Replication
+from lovagetray.commands.agreement._roles import Leading
+
+
+class Agreement:
+    """One instance's part in the replicated log; get one from `open`."""
+
+    def __init__(self, replica: Replica, machine: StateMachine) -> None:
+        self._replica = replica
+        outcomes = Outcomes(replica.surroundings.settings.retention)
+        self._replication = Replication(replica)
+        self._membership = Membership(replica, self._replication.advance_commit)
+        self._proposals = Proposals(replica, outcomes, self._replication)
+        applier = Applier(
+            replica,
+            machine,
+            outcomes,
+            self._proposals.settle,
+            self._membership.applied,
+        )
+        self._applier = applier
+        self._follower = Follower(replica, applier)
+        self._election = Election(replica, self._membership)
+        self._inbox = Queue()
+        self._group: TaskGroup | None = None
+
+    @classmethod
+    async def open(
+        cls,
+        surroundings: Surroundings,
+        disk: Disk | None,
+        machine: StateMachine,
+        replica_type: type[Replica] = Replica,
+    ) -> Result["Agreement", LogCorrupted]:
+        """Read the log from a disk and return the instance's part, not yet running.
+
+        Parameters
+        ----------
+        disk
+            None for a learner that keeps nothing over a restart.
+        machine
+            Restored from the last snapshot, or left at its start.
+        """
+        durable = disk is not None
+        opened = await DurableLog.open(
+            disk or NoDisk(), lambda: f"{surroundings.random.getrandbits(128):032x}"
+        )
+        match opened:
+            case Result(tag="ok", ok=log):
+                surroundings = surroundings._replace(durable=durable)
+                return Ok(cls(replica_type(surroundings, log), machine))
+            case Result(error=failure):
+                return Error(failure)
+
+    @property
+    def applied_index(self) -> int:
+        """The index of the last entry that the state machine has applied."""
+        return self._replica.applied_index
+
+    @property
+    def commit_index(self) -> int:
+        """The last index that this instance knows to be committed."""
+        return self._replica.commit_index
+
+    @property
+    def leader(self) -> str | None:
+        """The name of the leader, as far as this instance knows."""
+        return self._replica.leader
+
+    @property
+    def term(self) -> int:
+        """The newest term that this instance knows."""
+        return self._replica.log.term
+
+    @property
+    def live(self) -> tuple[str, ...]:
+        """The instances that the leader counts as live, in order of name."""
+        return self._replica.live
+
+    @property
+    def voter(self) -> Voter:
+        """This instance's identity in the log."""
+        return self._replica.me
+
+    @property
+    def voters(self) -> VoterSet:
+        """The newest voter set in this instance's log."""
+        return self._replica.log.voters
+
+    @property
+    def applied_by(self) -> Mapping[str, int]:
+        """On the leader, the applied index that each instance last reported."""
+        own = {self._replica.surroundings.name: self.applied_index}
+        match self._replica.role:
+            case Leading(peers=peers):
+                return {name: peer.applied for name, peer in peers.items()} | own
+        return own
+
+    def lease_valid(self) -> bool:
+        """Tell whether the leader confirmed this instance as live within one lease."""
+        return self._replica.lease_valid()
+
+    def reads_current(self) -> bool:
+        """Tell whether this instance leads and its state holds all accepted changes."""
+        return self._replica.reads_current()
+
+    async def propose(self, proposal: Proposal) -> Result[bytes, Failure]:
+        """Return the outcome of a change once it is committed and applied here or at
+        the leader, or why there is none; `proves_not_run` tells whether it may still
+        happen. A resend with the same request id, time and body gets the first outcome.
+        """
+        return await self._proposals.propose(proposal)
+
+    async def add_voter(self, name: str) -> Result[None, ChangeFailure]:
+        """Let a caught-up learner with a disk vote; only on the leader."""
+        return await self._membership.add_voter(name)
+
+    async def remove_voter(self, name: str) -> Result[None, ChangeFailure]:
+        """Take an instance's vote away; only on the leader."""
+        return await self._membership.remove_voter(name)
+
+    async def hand_over(self) -> Result[None, NoLeader | NotLeader]:
+        """Give leadership to another voter, if this instance has it."""
+        return await self._membership.hand_over()
+
+    async def add_peer(self, name: str) -> None:
+        """Replicate to one more instance, as a learner until it is a voter."""
+        if name in self._replica.peers or name == self._replica.surroundings.name:
+            return
+        self._replica.add_peer(name)
+        if self._group is not None:
+            await self._group.spawn(self._replication.run_peer, name)
+
+    async def handle(self, sender: str, message: AgreementMessage) -> None:
+        """Queue a message of another instance; never waits for the disk."""
+        await self._inbox.put((sender, message))
+
+    async def run(self) -> None:
+        """Take part until cancelled; an error of the disk ends it.
+
+        Tasks: inbox, election, log writer, apply loop, and one for each peer.
+        """
+        async with TaskGroup(wait=any) as group:
+            self._group = group
+            await group.spawn(self._receive)
+            await group.spawn(self._election.run)
+            await group.spawn(self._proposals.run)
+            await group.spawn(self._applier.run)
+            for name in self._replica.peers:
+                await group.spawn(self._replication.run_peer, name)
+        if group.exception is not None:
+            raise group.exception
+
+    async def _receive(self) -> None:
+        while True:
+            sender, message = await self._inbox.get()
+            match message:
+                case AppendEntries():
+                    await self._follower.append(sender, message)
+                case AppendReply():
+                    await self._replication.appended(sender, message)
+                case SnapshotChunk():
+                    await self._follower.install(sender, message)
+                case SnapshotReply():
+                    await self._replication.collected(sender, message)
+                case VoteRequest():
+                    await self._follower.vote(sender, message)
+                case VoteReply():
+                    await self._election.receive(message)
+                case TakeOver():
+                    await self._election.urge(message)
+                case ForwardProposal():
+                    await self._proposals.take_forwarded(sender, message)
+                case ProposalAccepted():
+                    await self._proposals.take_accepted(message)
+                case ProposalRefused():
+                    await self._proposals.take_refused(message)
--- /dev/null
+++ b/src/lovagetray/commands/agreement/_durable_log.py
@@ -0,0 +1,265 @@
+"""The log, the vote and the snapshot of one instance, on its disk."""
+
+from collections.abc import Callable, Sequence
+
+from expression import Error, Ok, Result
+
+from lovagetray._errors import LogCorrupted
+from lovagetray._log_entries import (
+    Entry,
+    LogSnapshot,
+    Voter,
+    VoteRecord,
+    VoterSet,
+)
+from lovagetray.commands.agreement._protocols import Disk
+from lovagetray.wire import (
+    decode_log,
+    decode_snapshot,
+    decode_vote,
+    encode_entries,
+    encode_snapshot,
+    encode_vote,
+)
+
+_VOTE = "vote"
+_LOG = "log"
+_SNAPSHOT = "snapshot"
+
+
+class DurableLog:
+    """Entries after a snapshot, the current term and the vote in it.
+
+    Its writers hold the replica's lock, so writes never overlap. A record in the file
+    whose first index is already taken replaces that entry and all after it.
+    """
+
+    def __init__(
+        self, disk: Disk, vote: VoteRecord, snapshot: LogSnapshot | None
+    ) -> None:
+        self._disk = disk
+        self._vote = vote
+        self._snapshot = snapshot
+        self._encoded_snapshot = b"" if snapshot is None else encode_snapshot(snapshot)
+        self._entries: list[Entry] = []
+        self._synced_index = self.base_index
+
+    @classmethod
+    async def open(
+        cls, disk: Disk, new_incarnation: Callable[[], str]
+    ) -> Result["DurableLog", LogCorrupted]:
+        """Return the log on a disk, or where it is corrupt.
+
+        Parameters
+        ----------
+        new_incarnation
+            Called on an empty disk for the identity of this voter.
+        """
+        vote_data = await disk.read(_VOTE)
+        log_data = await disk.read(_LOG)
+        snapshot_data = await disk.read(_SNAPSHOT)
+        if vote_data is None:
+            if log_data or snapshot_data is not None:
+                return Error(LogCorrupted(_VOTE, 0))
+            return Ok(await cls._first_start(disk, new_incarnation()))
+        if log_data is None:
+            return Error(LogCorrupted(_LOG, 0))
+        snapshot: LogSnapshot | None = None
+        if snapshot_data is not None:
+            match decode_snapshot(snapshot_data):
+                case Result(tag="ok", ok=found):
+                    snapshot = found
+                case Result(error=failure):
+                    return Error(failure)
+        match decode_vote(vote_data), decode_log(log_data):
+            case (Result(tag="error", error=failure), _):
+                return Error(failure)
+            case (_, Result(tag="error", error=failure)):
+                return Error(failure)
+            case (Result(ok=vote), Result(ok=content)):
+                log = cls(disk, vote, snapshot)
+                if not log._replay(content.entries):
+                    return Error(LogCorrupted(_LOG, 0))
+                # A rewrite also removes a torn tail and entries in the snapshot.
+                await log._rewrite()
+                return Ok(log)
+        return Error(LogCorrupted(_LOG, 0))
+
+    @classmethod
+    async def start_over(cls, disk: Disk, incarnation: str) -> "DurableLog":
+        """Discard a corrupt log and return an empty one under a new identity."""
+        log = cls(disk, VoteRecord(incarnation, 0, None), None)
+        # The new identity comes first: the old one must never vote without its log.
+        await disk.replace(_VOTE, encode_vote(log._vote))
+        await disk.sync_folder()
+        empty = LogSnapshot(0, 0, VoterSet(), None, (), b"")
+        await disk.replace(_SNAPSHOT, encode_snapshot(empty))
+        await log._rewrite()
+        return log
+
+    @classmethod
+    async def _first_start(cls, disk: Disk, incarnation: str) -> "DurableLog":
+        # The vote file comes last: once it exists, a missing log is corruption.
+        log = cls(disk, VoteRecord(incarnation, 0, None), None)
+        await log._rewrite()
+        await disk.replace(_VOTE, encode_vote(log._vote))
+        await disk.sync_folder()
+        return log
+
+    @property
+    def incarnation(self) -> str:
+        """The identity that was written at the first start on this disk."""
+        return self._vote.incarnation
+
+    @property
+    def term(self) -> int:
+        """The newest term that this instance knows, synced."""
+        return self._vote.term
+
+    @property
+    def voted_for(self) -> Voter | None:
+        """Who got this instance's vote in the current term, synced."""
+        return self._vote.voted_for
+
+    @property
+    def snapshot(self) -> LogSnapshot | None:
+        """The snapshot that replaces the entries up to `base_index`."""
+        return self._snapshot
+
+    @property
+    def encoded_snapshot(self) -> bytes:
+        """The snapshot as it is stored and sent."""
+        return self._encoded_snapshot
+
+    @property
+    def base_index(self) -> int:
+        """The index of the snapshot, or 0."""
+        return 0 if self._snapshot is None else self._snapshot.log_index
+
+    @property
+    def last_index(self) -> int:
+        """The index of the last entry, synced or not."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """The term of the last entry."""
+        return self.term_at(self.last_index)
+
+    @property
+    def synced_index(self) -> int:
+        """The last index that is durable."""
+        return self._synced_index
+
+    @property
+    def voters(self) -> VoterSet:
+        """The newest voter set in the log, committed or not."""
+        return self.voters_at(self.last_index)
+
+    @property
+    def voters_index(self) -> int:
+        """The index of the entry with the newest voter set."""
+        for entry in reversed(self._entries):
+            if entry.voters is not None:
+                return entry.log_index
+        return self.base_index
+
+    def voters_at(self, index: int) -> VoterSet:
+        """Return the voter set in force at an index."""
+        for entry in reversed(self._entries):
+            if entry.voters is not None and entry.log_index <= index:
+                return entry.voters
+        return VoterSet() if self._snapshot is None else self._snapshot.voters
+
+    def term_at(self, index: int) -> int:
+        """Return the term of the entry at an index from `base_index` on."""
+        if index == self.base_index:
+            return 0 if self._snapshot is None else self._snapshot.term
+        return self.entry(index).term
+
+    def entry(self, index: int) -> Entry:
+        """Return the entry at an index after `base_index`."""
+        if index <= self.base_index:
+            raise IndexError(f"entry {index} is in the snapshot")
+        return self._entries[index - self.base_index - 1]
+
+    def entries_from(self, index: int, limit: int) -> tuple[Entry, ...]:
+        """Return entries from an index on, at least one, of about `limit` bytes."""
+        batch: list[Entry] = []
+        size = 0
+        for entry in self._entries[index - self.base_index - 1 :]:
+            size += entry.size
+            if batch and size > limit:
+                break
+            batch.append(entry)
+        return tuple(batch)
+
+    def first_of_term(self, index: int) -> int:
+        """Return the first index that has the term of the entry at `index`."""
+        term = self.term_at(index)
+        while index > self.base_index + 1 and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    async def vote(self, term: int, voted_for: Voter | None) -> None:
+        """Store a term and the vote in it; both are durable on return."""
+        record = VoteRecord(self.incarnation, term, voted_for)
+        await self._disk.replace(_VOTE, encode_vote(record))
+        await self._disk.sync_folder()
+        self._vote = record
+
+    async def append(self, entries: Sequence[Entry]) -> None:
+        """Store entries in place of those from the first index on; durable on return.
+
+        The entries are readable at once, so that they can be sent during the sync.
+        """
+        first = entries[0].log_index
+        del self._entries[first - self.base_index - 1 :]
+        self._synced_index = min(self._synced_index, first - 1)
+        self._entries.extend(entries)
+        await self._disk.append(_LOG, encode_entries(entries))
+        await self._disk.sync(_LOG)
+        self._synced_index = entries[-1].log_index
+
+    async def compact(self, snapshot: LogSnapshot) -> None:
+        """Store a snapshot and drop the entries up to its index."""
+        encoded = encode_snapshot(snapshot)
+        await self._disk.replace(_SNAPSHOT, encoded)
+        await self._disk.sync_folder()
+        kept: list[Entry] = []
+        index = snapshot.log_index
+        if index <= self.last_index and self.term_at(index) == snapshot.term:
+            kept = self._entries[index - self.base_index :]
+        self._snapshot = snapshot
+        self._encoded_snapshot = encoded
+        self._entries = kept
+        self._synced_index = self.last_index
+        await self._rewrite()
+
+    async def _rewrite(self) -> None:
+        data = encode_entries(self._entries) if self._entries else b""
+        await self._disk.replace(_LOG, data)
+        await self._disk.sync_folder()
+        self._synced_index = self.last_index
+
+    def _replay(self, entries: Sequence[Entry]) -> bool:
+        """Take the entries of the file in order; return False at a gap."""
+        base = self.base_index
+        history: dict[int, Entry] = {}
+        last = 0
+        for entry in entries:
+            if last and entry.log_index > last + 1:
+                return False
+            for index in range(entry.log_index, last + 1):
+                history.pop(index, None)
+            history[entry.log_index] = entry
+            last = entry.log_index
+        at_base = history.get(base)
+        if at_base is not None and at_base.term != self.term_at(base):
+            # A crash between the two steps of installing a snapshot left these.
+            return True
+        self._entries = [history[index] for index in sorted(history) if index > base]
+        if self._entries and self._entries[0].log_index != base + 1:
+            return False
+        self._synced_index = self.last_index
+        return True
--- /dev/null
+++ b/src/lovagetray/commands/agreement/_election.py
@@ -0,0 +1,159 @@
+"""Elections: who leads, and when a leader stops."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from curio import Event, Queue
+from expression import Result
+
+from lovagetray._log_entries import Voter, VoterSet
+from lovagetray._peer_messages import TakeOver, VoteReply, VoteRequest
+from lovagetray.commands.agreement._membership import Membership
+from lovagetray.commands.agreement._replica import Replica
+from lovagetray.commands.agreement._roles import Leading
+
+
+class Ballot(NamedTuple):
+    """A vote that is being taken; `replies` is a queue of `VoteReply`."""
+
+    term: int
+    trial: bool
+    transfer: bool
+    replies: Queue
+
+
+class Election:
+    """The election task of one instance, and the votes it collects."""
+
+    def __init__(self, replica: Replica, membership: Membership) -> None:
+        self._replica = replica
+        self._membership = membership
+        self._ballot: Ballot | None = None
+        self._urged = Event()
+        self._urged_term = 0
+
+    async def run(self) -> None:
+        """Watch the leader and stand for election when it is silent."""
+        while True:
+            match self._replica.role:
+                case Leading() as leading:
+                    await self._keep_leading(leading)
+                case _:
+                    await self._await_leader()
+
+    async def receive(self, reply: VoteReply) -> None:
+        """Count a reply, or enter its higher term."""
+        replica = self._replica
+        if reply.term > replica.log.term:
+            async with replica.lock:
+                if reply.term > replica.log.term:
+                    await replica.advance_term(reply.term)
+        ballot = self._ballot
+        if ballot is not None and ballot[:2] == (reply.ballot_term, reply.trial):
+            await ballot.replies.put(reply)
+
+    async def urge(self, message: TakeOver) -> None:
+        """Stand for election at once because the leader asks for it."""
+        self._urged_term = message.term
+        await self._urged.set()
+
+    async def _keep_leading(self, leading: Leading) -> None:
+        replica = self._replica
+        await replica.surroundings.clock.sleep(replica.surroundings.settings.heartbeat)
+        if replica.role is not leading:
+            return
+        if not replica.has_quorum(leading):
+            async with replica.lock:
+                if replica.role is leading:
+                    replica.stop_leading()
+            return
+        replica.refresh_live(leading)
+        await self._membership.repair(leading)
+
+    async def _await_leader(self) -> None:
+        replica = self._replica
+        clock, settings = replica.surroundings.clock, replica.surroundings.settings
+        spread = settings.longest_election - settings.shortest_election
+        patience = (
+            settings.shortest_election + spread * replica.surroundings.random.random()
+        )
+        waited_since = clock.elapsed()
+        while not self._urged.is_set():
+            silent_since = max(replica.heard_at, waited_since)
+            left = silent_since + patience - clock.elapsed()
+            if left <= timedelta(0):
+                break
+            await clock.within(left, self._urged.wait())
+            if isinstance(replica.role, Leading):
+                return
+        transfer = self._urged.is_set() and self._urged_term == replica.log.term
+        self._urged.clear()
+        if self._eligible():
+            await self._stand(transfer)
+
+    def _eligible(self) -> bool:
+        replica = self._replica
+        if not replica.surroundings.durable:
+            return False
+        if replica.log.voters.voters:
+            return replica.me in replica.log.voters.voters
+        return replica.surroundings.name in replica.surroundings.founders
+
+    async def _stand(self, transfer: bool) -> None:
+        replica, log = self._replica, self._replica.log
+        if not transfer:
+            trial = Ballot(log.term + 1, True, False, Queue())
+            heard_at = replica.heard_at
+            if await self._take(trial) is None or replica.heard_at != heard_at:
+                return
+        async with replica.lock:
+            if transfer and log.term != self._urged_term:
+                return
+            term = log.term + 1
+            await replica.advance_term(term, replica.me)
+        votes = await self._take(Ballot(term, False, transfer, Queue()))
+        if votes is None:
+            return
+        async with replica.lock:
+            if log.term == term and log.voted_for == replica.me:
+                founding = VoterSet(votes) if not log.voters.voters else None
+                await replica.lead(founding)
+                await self._membership.advance_commit()
+
+    async def _take(self, ballot: Ballot) -> tuple[Voter, ...] | None:
+        """Return who granted their votes, or None without enough of them."""
+        replica, log = self._replica, self._replica.log
+        clock = replica.surroundings.clock
+        self._ballot = ballot
+        request = VoteRequest(
+            ballot.term,
+            replica.me,
+            log.last_index,
+            log.last_term,
+            ballot.trial,
+            ballot.transfer,
+        )
+        for name in log.voters.names or replica.surroundings.founders:
+            if name != replica.surroundings.name:
+                await replica.surroundings.link.send(name, request)
+        granted = {replica.surroundings.name: replica.me}
+        deadline = clock.elapsed() + replica.surroundings.settings.ballot
+        while not self._enough(granted):
+            left = deadline - clock.elapsed()
+            match await clock.within(left, ballot.replies.get()):
+                case Result(tag="ok", ok=VoteReply(granted=True, voter=voter)):
+                    granted[voter.name] = voter
+                case Result(tag="error"):
+                    return None
+        return tuple(granted[name] for name in sorted(granted))
+
+    def _enough(self, granted: dict[str, Voter]) -> bool:
+        """Tell whether votes win: a majority of voters, or all founders.
+
+        Founding takes all founders with empty logs, because an instance that lost its
+        disk cannot know by itself whether the group was founded before.
+        """
+        voters = self._replica.log.voters
+        if voters.voters:
+            return voters.majority_of(granted.values())
+        return set(self._replica.surroundings.founders) <= set(granted)
--- /dev/null
+++ b/src/lovagetray/commands/agreement/_membership.py
@@ -0,0 +1,193 @@
+"""Changes of the voter set, one at a time through the log."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+from curio import Queue
+from expression import Error, Ok, Result
+
+from lovagetray._errors import (
+    MembershipChangeRefused,
+    NoLeader,
+    NotLeader,
+    ProposalUnconfirmed,
+)
+from lovagetray._log_entries import Entry, EntryKind, Voter, VoterSet
+from lovagetray._peer_messages import TakeOver
+from lovagetray.commands.agreement._replica import Replica
+from lovagetray.commands.agreement._roles import Leading
+
+ChangeFailure = MembershipChangeRefused | NotLeader | ProposalUnconfirmed
+_STEP = timedelta(milliseconds=20)
+
+
+class Membership:
+    """Adds and removes voters on the leader, and hands leadership over.
+
+    Parameters
+    ----------
+    advance_commit
+        Commits what a majority has synced; a set of one voter needs no reply.
+    """
+
+    def __init__(
+        self, replica: Replica, advance_commit: Callable[[], Awaitable[None]]
+    ) -> None:
+        self._replica = replica
+        self.advance_commit = advance_commit
+        self._waiting: dict[int, Queue] = {}
+
+    async def add_voter(self, name: str) -> Result[None, ChangeFailure]:
+        """Let a caught-up learner vote; ends when the change is committed."""
+        return await self._change(name, self._with_voter)
+
+    async def remove_voter(self, name: str) -> Result[None, ChangeFailure]:
+        """Take a voter's vote away; ends when the change is committed."""
+        return await self._change(name, self._without_voter)
+
+    async def applied(self, index: int, voters: VoterSet) -> None:
+        """Tell the caller that waits for a change."""
+        waiting = self._waiting.pop(index, None)
+        if waiting is not None:
+            await waiting.put(voters)
+
+    async def repair(self, leading: Leading) -> None:
+        """Replace the identity of a voter that came back with an empty disk.
+
+        The old identity is removed first, and only when the new one holds every
+        committed entry, so that the set is short of a voter only briefly.
+        """
+        replica = self._replica
+        async with replica.lock:
+            voters = replica.log.voters
+            if replica.role is not leading or not self._settled(leading):
+                return
+            for name, progress in leading.peers.items():
+                voter = progress.voter
+                if voter is None or voter in voters.voters:
+                    continue
+                if not self._caught_up(leading, name):
+                    continue
+                if name in voters.names:
+                    old = voters.voters[voters.names.index(name)]
+                    await self._append(leading, voters.without(old, awaited=True))
+                    return
+                if name in voters.awaited:
+                    await self._append(leading, voters.including(voter))
+                    return
+
+    async def hand_over(self) -> Result[None, NoLeader | NotLeader]:
+        """Let the most advanced voter lead; Ok when this instance no longer does."""
+        replica = self._replica
+        surroundings = replica.surroundings
+        match replica.role:
+            case Leading() as leading:
+                heir = self._heir(leading)
+            case _:
+                return Error(NotLeader(replica.leader or ""))
+        if heir is None:
+            return Error(NoLeader())
+        leading.handing_over = True
+        deadline = surroundings.clock.elapsed() + 2 * surroundings.settings.lease
+        asked = False
+        while replica.role is leading and surroundings.clock.elapsed() < deadline:
+            if not asked and leading.matched.get(heir, 0) == replica.log.last_index:
+                await surroundings.link.send(heir.name, TakeOver(replica.log.term))
+                asked = True
+            await surroundings.clock.sleep(_STEP)
+        if replica.role is leading:
+            async with replica.lock:
+                if replica.role is leading:
+                    replica.stop_leading()
+        return Ok(None)
+
+    def _heir(self, leading: Leading) -> Voter | None:
+        replica = self._replica
+        now = replica.surroundings.clock.elapsed()
+        silence = replica.surroundings.settings.silence
+        best: Voter | None = None
+        for progress in leading.peers.values():
+            voter, heard_at = progress.voter, progress.heard_at
+            if voter not in replica.log.voters.voters or voter is None:
+                continue
+            if heard_at is None or now - heard_at > silence:
+                continue
+            matched = leading.matched
+            if best is None or matched.get(voter, 0) > matched.get(best, 0):
+                best = voter
+        return best
+
+    async def _change(
+        self,
+        name: str,
+        changed: Callable[[Leading, str], VoterSet | MembershipChangeRefused],
+    ) -> Result[None, ChangeFailure]:
+        replica = self._replica
+        async with replica.lock:
+            match replica.role:
+                case Leading() as leading:
+                    outcome = changed(leading, name)
+                case _:
+                    return Error(NotLeader(replica.leader or ""))
+            if isinstance(outcome, MembershipChangeRefused):
+                return Error(outcome)
+            if not self._settled(leading):
+                reason = "another change is not committed yet"
+                return Error(MembershipChangeRefused(name, reason))
+            answers = Queue()
+            index = replica.log.last_index + 1
+            self._waiting[index] = answers
+            await self._append(leading, outcome)
+        limit = replica.surroundings.settings.propose_limit
+        done = await replica.surroundings.clock.within(limit, answers.get())
+        self._waiting.pop(index, None)
+        match done:
+            case Result(tag="ok", ok=voters) if voters == outcome:
+                return Ok(None)
+        return Error(ProposalUnconfirmed(f"voter {name}"))
+
+    def _settled(self, leading: Leading) -> bool:
+        """Tell whether the last change and an entry of this term are committed.
+
+        Without an entry of this term, a change of an older leader could still replace
+        the voter set that this one counts with.
+        """
+        replica = self._replica
+        committed = replica.commit_index
+        return committed >= max(leading.first_index, replica.log.voters_index)
+
+    def _caught_up(self, leading: Leading, name: str) -> bool:
+        progress = leading.peers.get(name)
+        if progress is None or progress.voter is None or not progress.durable:
+            return False
+        return leading.matched.get(progress.voter, 0) >= self._replica.commit_index
+
+    def _with_voter(
+        self, leading: Leading, name: str
+    ) -> VoterSet | MembershipChangeRefused:
+        voters = self._replica.log.voters
+        progress = leading.peers.get(name)
+        if name in voters.names:
+            return MembershipChangeRefused(name, "it is a voter already")
+        if progress is None or progress.voter is None:
+            return MembershipChangeRefused(name, "the leader has not heard from it")
+        if not self._caught_up(leading, name):
+            return MembershipChangeRefused(name, "it has no disk or is not caught up")
+        return voters.including(progress.voter)
+
+    def _without_voter(
+        self, leading: Leading, name: str
+    ) -> VoterSet | MembershipChangeRefused:
+        voters = self._replica.log.voters
+        if name not in voters.names:
+            return MembershipChangeRefused(name, "it is not a voter")
+        if name == self._replica.surroundings.name:
+            return MembershipChangeRefused(name, "it leads; hand leadership over first")
+        return voters.without(voters.voters[voters.names.index(name)], awaited=False)
+
+    async def _append(self, leading: Leading, voters: VoterSet) -> None:
+        replica = self._replica
+        index, term = replica.log.last_index + 1, replica.log.term
+        entry = Entry(index, term, EntryKind.VOTERS, None, voters)
+        await replica.append(leading, [entry])
+        await self.advance_commit()
--- /dev/null
+++ b/src/lovagetray/commands/agreement/_outcomes.py
@@ -0,0 +1,68 @@
+"""The first outcome of each request id, as part of the replicated state."""
+
+from datetime import datetime, timedelta
+from heapq import heapify, heappop, heappush
+
+from expression import Error, Ok, Result
+
+from lovagetray._errors import Failure, ProposalTimeRefused, RequestIdConflict
+from lovagetray._log_entries import OutcomeRecord, Proposal
+
+
+class Outcomes:
+    """Outcomes of the last `retention`, by the times of the applied proposals.
+
+    Wall clocks play no part: every instance forgets at the same entry.
+    """
+
+    def __init__(self, retention: timedelta) -> None:
+        self._retention = retention
+        self._latest_at: datetime | None = None
+        self._records: dict[str, OutcomeRecord] = {}
+        self._by_age: list[tuple[datetime, str]] = []
+
+    @property
+    def latest_at(self) -> datetime | None:
+        """The newest time of any applied proposal."""
+        return self._latest_at
+
+    @property
+    def records(self) -> tuple[OutcomeRecord, ...]:
+        """All kept outcomes in the order in which they were applied."""
+        return tuple(self._records.values())
+
+    def find(self, request_id: str) -> OutcomeRecord | None:
+        """Return the kept outcome of a request id."""
+        return self._records.get(request_id)
+
+    def known(self, proposal: Proposal) -> Result[bytes, Failure] | None:
+        """Return the outcome that a proposal has already, or None if it is new."""
+        record = self._records.get(proposal.request_id)
+        if record is not None:
+            if record.digest != proposal.digest:
+                return Error(RequestIdConflict(proposal.request_id))
+            return Ok(record.reply)
+        if self._latest_at is not None:
+            if proposal.at <= self._latest_at - self._retention:
+                return Error(ProposalTimeRefused(proposal.request_id))
+        return None
+
+    def record(self, proposal: Proposal, reply: bytes) -> None:
+        """Keep the first outcome of a proposal and forget those past retention."""
+        request_id, at = proposal.request_id, proposal.at
+        self._records[request_id] = OutcomeRecord(
+            request_id, at, proposal.digest, reply
+        )
+        heappush(self._by_age, (at, request_id))
+        self._latest_at = max(at, self._latest_at or at)
+        while self._by_age[0][0] <= self._latest_at - self._retention:
+            del self._records[heappop(self._by_age)[1]]
+
+    def restore(
+        self, latest_at: datetime | None, records: tuple[OutcomeRecord, ...]
+    ) -> None:
+        """Replace everything with the content of a snapshot."""
+        self._latest_at = latest_at
+        self._records = {record.request_id: record for record in records}
+        self._by_age = [(record.at, record.request_id) for record in records]
+        heapify(self._by_age)
--- /dev/null
+++ b/src/lovagetray/commands/agreement/_proposals.py
@@ -0,0 +1,244 @@
+"""Takes proposals on any instance and follows them to their outcome."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from curio import Queue
+from expression import Error, Ok, Result
+
+from lovagetray._errors import (
+    Failure,
+    NoLeader,
+    NotLeader,
+    ProposalTimeRefused,
+    ProposalUnconfirmed,
+    QuorumLost,
+    RequestTooLarge,
+)
+from lovagetray._log_entries import Entry, EntryKind, Proposal
+from lovagetray._peer_messages import (
+    ForwardProposal,
+    ProposalAccepted,
+    ProposalRefused,
+)
+from lovagetray._violations import TwoOutcomes
+from lovagetray.commands.agreement._outcomes import Outcomes
+from lovagetray.commands.agreement._replica import Replica
+from lovagetray.commands.agreement._replication import Replication
+from lovagetray.commands.agreement._roles import Leading
+from lovagetray.wire import decode_failure_frame, encode_failure_frame
+
+_NO_TIME = timedelta(0)
+
+
+class Submission(NamedTuple):
+    """A proposal on its way into the log.
+
+    Parameters
+    ----------
+    term
+        The term of the leader that it was meant for.
+    origin
+        The instance that forwarded it, or None for this one.
+    """
+
+    proposal: Proposal
+    term: int
+    origin: str | None
+
+
+class Proposals:
+    """Proposals of this instance, and on the leader those of all instances."""
+
+    def __init__(
+        self, replica: Replica, outcomes: Outcomes, replication: Replication
+    ) -> None:
+        self._replica = replica
+        self._outcomes = outcomes
+        self._replication = replication
+        self._submitted = Queue()
+        self._waiting: dict[tuple[str, bytes], list[Queue]] = {}
+
+    async def propose(self, proposal: Proposal) -> Result[bytes, Failure]:
+        """Return the outcome of a proposal, or why there is none.
+
+        It is sent again under the same request id until the limit has passed.
+        """
+        settings = self._replica.surroundings.settings
+        if len(proposal.body) > settings.proposal_bytes:
+            return Error(RequestTooLarge(settings.proposal_bytes))
+        key = proposal.request_id, proposal.digest
+        answers = Queue()
+        self._waiting.setdefault(key, []).append(answers)
+        try:
+            return await self._until_outcome(proposal, answers)
+        finally:
+            self._waiting[key].remove(answers)
+            if not self._waiting[key]:
+                del self._waiting[key]
+
+    async def run(self) -> None:
+        """Write submitted proposals to the log, all that wait in one sync."""
+        while True:
+            batch = [await self._submitted.get()]
+            for _ in range(self._submitted.qsize()):
+                batch.append(await self._submitted.get())
+            await self._write(batch)
+
+    async def take_forwarded(self, sender: str, message: ForwardProposal) -> None:
+        """Queue a proposal that another instance forwarded."""
+        submission = Submission(message.proposal, message.term, sender)
+        await self._submitted.put(submission)
+
+    async def take_accepted(self, message: ProposalAccepted) -> None:
+        """Deliver the leader's outcome to the callers that wait for it."""
+        record = self._outcomes.find(message.request_id)
+        if record is not None:
+            if (record.digest, record.reply) != (message.digest, message.reply):
+                violation = TwoOutcomes(message.request_id)
+                self._replica.surroundings.violations.report(violation)
+        key = message.request_id, message.digest
+        await self._deliver(key, Ok(message.reply))
+
+    async def take_refused(self, message: ProposalRefused) -> None:
+        """Deliver the leader's refusal to the callers that wait for an outcome."""
+        failure = decode_failure_frame(message.failure)
+        if failure is not None:
+            key = message.request_id, message.digest
+            await self._deliver(key, Error(failure))
+
+    async def settle(self, proposal: Proposal, result: Result[bytes, Failure]) -> None:
+        """Tell everyone who waits for an applied proposal its outcome."""
+        key = proposal.request_id, proposal.digest
+        await self._deliver(key, result)
+        match self._replica.role:
+            case Leading() as leading:
+                leading.in_flight.discard(key)
+                for origin in sorted(leading.origins.pop(key, ())):
+                    await self._reply(origin, proposal, result)
+
+    async def _until_outcome(
+        self, proposal: Proposal, answers: Queue
+    ) -> Result[bytes, Failure]:
+        clock = self._replica.surroundings.clock
+        settings = self._replica.surroundings.settings
+        deadline = clock.elapsed() + settings.propose_limit
+        maybe_appended = False
+        refusal: Failure = NoLeader()
+        while (left := deadline - clock.elapsed()) > _NO_TIME:
+            known = self._outcomes.known(proposal)
+            if known is not None:
+                return known
+            sent = await self._send_to_leader(proposal)
+            wait = settings.resend if sent else settings.heartbeat
+            match await clock.within(min(left, wait), answers.get()):
+                case Result(tag="ok", ok=Result(tag="ok", ok=reply)):
+                    return Ok(reply)
+                case Result(
+                    tag="ok",
+                    ok=Result(error=NoLeader() | NotLeader() | QuorumLost() as failure),
+                ):
+                    refusal = failure
+                    await clock.sleep(min(left, settings.heartbeat))
+                case Result(tag="ok", ok=Result(error=failure)):
+                    return Error(failure)
+                case _:
+                    maybe_appended = maybe_appended or sent
+        if maybe_appended:
+            return Error(ProposalUnconfirmed(proposal.request_id))
+        return Error(refusal)
+
+    async def _send_to_leader(self, proposal: Proposal) -> bool:
+        """Send or submit a proposal; return False if there is no leader to take it."""
+        replica = self._replica
+        leader, term = replica.leader, replica.log.term
+        if leader is None:
+            return False
+        if leader == replica.surroundings.name:
+            await self._submitted.put(Submission(proposal, term, None))
+        else:
+            message = ForwardProposal(term, proposal)
+            await replica.surroundings.link.send(leader, message)
+        return True
+
+    async def _write(self, batch: list[Submission]) -> None:
+        replica = self._replica
+        answered: list[tuple[Submission, Result[bytes, Failure]]] = []
+        entries: list[Entry] = []
+        async with replica.lock:
+            for submission in batch:
+                known = self._decide(submission)
+                if known is not None:
+                    answered.append((submission, known))
+                elif self._is_new(submission):
+                    index = replica.log.last_index + 1 + len(entries)
+                    kind, proposal = EntryKind.PROPOSAL, submission.proposal
+                    entries.append(Entry(index, replica.log.term, kind, proposal))
+            match replica.role:
+                case Leading() as leading if entries:
+                    await replica.append(leading, entries)
+                    await self._replication.advance_commit()
+        for submission, result in answered:
+            await self._answer(submission, result)
+
+    def _decide(self, submission: Submission) -> Result[bytes, Failure] | None:
+        """Return the outcome that a submission has already, or None to append it."""
+        replica, proposal = self._replica, submission.proposal
+        known = self._outcomes.known(proposal)
+        if known is not None:
+            return known
+        match replica.role:
+            case Leading() as leading if submission.term == replica.log.term:
+                pass
+            case _:
+                return Error(NotLeader(replica.leader or ""))
+        if leading.handing_over:
+            return Error(NoLeader())
+        if not replica.has_quorum(leading):
+            # A refusal must be final, so this term takes no proposal any more.
+            replica.stop_leading()
+            return Error(QuorumLost())
+        clock, settings = replica.surroundings.clock, replica.surroundings.settings
+        if proposal.at > clock.now() + settings.clock_tolerance:
+            return Error(ProposalTimeRefused(proposal.request_id))
+        return None
+
+    def _is_new(self, submission: Submission) -> bool:
+        """Note who waits for a proposal; return whether it is not in the log yet."""
+        key = submission.proposal.request_id, submission.proposal.digest
+        match self._replica.role:
+            case Leading(origins=origins, in_flight=in_flight):
+                if submission.origin is not None:
+                    origins.setdefault(key, set()).add(submission.origin)
+                if key in in_flight:
+                    return False
+                in_flight.add(key)
+                return True
+        return False
+
+    async def _answer(
+        self, submission: Submission, result: Result[bytes, Failure]
+    ) -> None:
+        proposal = submission.proposal
+        if submission.origin is None:
+            await self._deliver((proposal.request_id, proposal.digest), result)
+        else:
+            await self._reply(submission.origin, proposal, result)
+
+    async def _reply(
+        self, origin: str, proposal: Proposal, result: Result[bytes, Failure]
+    ) -> None:
+        link = self._replica.surroundings.link
+        request_id, digest = proposal.request_id, proposal.digest
+        match result:
+            case Result(tag="ok", ok=reply):
+                await link.send(origin, ProposalAccepted(request_id, digest, reply))
+            case Result(error=failure):
+                frame = encode_failure_frame(failure)
+                await link.send(origin, ProposalRefused(request_id, digest, frame))
+
+    async def _deliver(
+        self, key: tuple[str, bytes], result: Result[bytes, Failure]
+    ) -> None:
+        for answers in self._waiting.get(key, []):
+            await answers.put(result)
--- /dev/null
+++ b/src/lovagetray/commands/agreement/_replica.py
@@ -0,0 +1,306 @@
+"""The mutable state of one instance in the replicated log."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from random import Random
+from typing import NamedTuple
+
+from curio import Event, Lock
+from structlog import get_logger
+
+from lovagetray._clock import Clock
+from lovagetray._log_entries import (
+    Entry,
+    EntryKind,
+    FollowerBeat,
+    LeaderBeat,
+    Stamp,
+    Voter,
+    VoterSet,
+)
+from lovagetray._violations import RevisionFell, Violations
+from lovagetray.commands.agreement._durable_log import DurableLog
+from lovagetray.commands.agreement._protocols import PeerLink
+from lovagetray.commands.agreement._roles import Following, Leading, Role
+from lovagetray.commands.agreement._settings import AgreementSettings
+
+_log = get_logger()
+# Clocks of two instances may differ in speed by this share of a lease.
+_CLOCK_MARGIN = 1.1
+
+
+class Surroundings(NamedTuple):
+    """What one instance's replicated log works with.
+
+    Parameters
+    ----------
+    founders
+        The instances that form the first voter set, all with empty disks.
+    durable
+        Whether this instance has a disk and so may vote.
+    random
+        Source of election times and identities.
+    """
+
+    name: str
+    founders: tuple[str, ...]
+    durable: bool
+    clock: Clock
+    link: PeerLink
+    settings: AgreementSettings
+    violations: Violations
+    random: Random
+
+
+class Replica:
+    """Term, role, log and indexes; shared by the tasks of one instance.
+
+    Changes of term, vote, role and log happen under `lock`, because they wait for the
+    disk in between. Indexes only rise.
+    """
+
+    def __init__(self, surroundings: Surroundings, log: DurableLog) -> None:
+        self.surroundings = surroundings
+        self.log = log
+        self.lock = Lock()
+        self.committed = Event()
+        self._run = f"{surroundings.random.getrandbits(64):016x}"
+        self._role: Role = Following(None)
+        self._commit_index = log.base_index
+        self._applied_index = log.base_index
+        self._live: tuple[str, ...] = ()
+        self._lease_start: timedelta | None = None
+        self._newest_beat = (0, timedelta.min)
+        self._signals: dict[str, Event] = {}
+        # Nobody votes just after a start, as it may have heard a leader just before.
+        self._heard_at = surroundings.clock.elapsed()
+
+    @property
+    def me(self) -> Voter:
+        """The identity of this instance."""
+        return Voter(self.surroundings.name, self.log.incarnation)
+
+    @property
+    def role(self) -> Role:
+        """What this instance does in the current term."""
+        return self._role
+
+    @property
+    def leader(self) -> str | None:
+        """The name of the leader of the current term, if known."""
+        match self._role:
+            case Leading():
+                return self.surroundings.name
+            case Following(leader=Voter() as leader):
+                return leader.name
+        return None
+
+    @property
+    def commit_index(self) -> int:
+        """The last index that is known to be committed."""
+        return self._commit_index
+
+    @property
+    def applied_index(self) -> int:
+        """The last index that the state machine has applied."""
+        return self._applied_index
+
+    @property
+    def live(self) -> tuple[str, ...]:
+        """The live instances, as the leader last distributed them."""
+        match self._role:
+            case Leading(live=live):
+                return live
+        return self._live
+
+    @property
+    def heard_at(self) -> timedelta:
+        """When this instance last heard a leader or voted for one."""
+        return self._heard_at
+
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """The instances that this one replicates to when it leads."""
+        return tuple(self._signals)
+
+    def add_peer(self, name: str) -> Event:
+        """Register a peer and return the event that wakes its replication task."""
+        return self._signals.setdefault(name, Event())
+
+    async def wake_peers(self) -> None:
+        """Let every replication task look for something to send."""
+        for signal in self._signals.values():
+            await signal.set()
+
+    async def wake_peer(self, name: str) -> None:
+        """Let the replication task of one peer look for something to send."""
+        if name in self._signals:
+            await self._signals[name].set()
+
+    async def advance_term(self, term: int, vote: Voter | None = None) -> None:
+        """Enter a higher term as follower; the caller holds the lock."""
+        await self.log.vote(term, vote)
+        self.stop_leading()
+
+    def stop_leading(self) -> None:
+        """Become a follower without a leader; the caller holds the lock."""
+        if isinstance(self._role, Leading):
+            self._live = self._role.live
+            _log.info("leadership_ended", term=self.log.term)
+        self._role = Following(None)
+
+    async def lead(self, founding: VoterSet | None) -> None:
+        """Lead the current term; the caller holds the lock.
+
+        Parameters
+        ----------
+        founding
+            The first voter set, if the log is empty.
+        """
+        index = self.log.last_index + 1
+        kind = EntryKind.TERM_START if founding is None else EntryKind.VOTERS
+        leading = Leading(self.surroundings.clock.elapsed(), index, self._live)
+        self._role = leading
+        _log.info("leadership_started", term=self.log.term, index=index)
+        await self.append(leading, [Entry(index, self.log.term, kind, None, founding)])
+
+    async def append(self, leading: Leading, entries: list[Entry]) -> None:
+        """Append entries as leader; the caller holds the lock."""
+        await self.wake_peers()
+        await self.log.append(entries)
+        leading.matched[self.me] = self.log.synced_index
+
+    async def commit_to(self, index: int) -> None:
+        """Raise the commit index."""
+        if index > self._commit_index:
+            self._commit_index = index
+            await self.committed.set()
+
+    def applied(self, index: int) -> None:
+        """Record that the state machine has applied everything up to an index."""
+        if index < self._applied_index:
+            violation = RevisionFell(self._applied_index, index)
+            self.surroundings.violations.report(violation)
+        self._applied_index = index
+        self._commit_index = max(self._commit_index, index)
+
+    def heard_leader(self) -> None:
+        """Postpone the next election."""
+        self._heard_at = self.surroundings.clock.elapsed()
+
+    def follow(self, beat: LeaderBeat) -> None:
+        """Take over what a leader of the current term distributes.
+
+        The lease runs from this instance's own clock: the leader returns the stamp of
+        a reply, so a late message cannot extend the lease.
+        """
+        self.heard_leader()
+        self._role = Following(beat.leader)
+        if (beat.term, beat.sent_at) <= self._newest_beat:
+            return
+        self._newest_beat = (beat.term, beat.sent_at)
+        self._live = beat.live
+        confirmed = beat.confirmed
+        if confirmed is not None and confirmed.run == self._run:
+            start = self._lease_start
+            self._lease_start = max(confirmed.at, start or confirmed.at)
+
+    def leader_beat(self, leading: Leading, peer: str) -> LeaderBeat:
+        """Return what a message to a peer carries."""
+        return LeaderBeat(
+            self.log.term,
+            self.me,
+            self._commit_index,
+            leading.live,
+            self.surroundings.clock.elapsed(),
+            leading.progress(peer).confirmed,
+        )
+
+    def follower_beat(self, answered: LeaderBeat) -> FollowerBeat:
+        """Return what a reply to a leader carries."""
+        return FollowerBeat(
+            self.log.term,
+            self.me,
+            self.surroundings.durable,
+            self._applied_index,
+            answered.sent_at,
+            Stamp(self._run, self.surroundings.clock.elapsed()),
+        )
+
+    def quorum_contact(self, leading: Leading) -> timedelta:
+        """Return since when a majority is known to have answered this leader.
+
+        A majority of voters answered a message sent at that time or later, so none of
+        them can have supported another leader before.
+        """
+        voters = self.log.voters.voters
+        now = self.surroundings.clock.elapsed()
+        times = [
+            now if voter == self.me else leading.contacted.get(voter, leading.since)
+            for voter in voters
+        ]
+        return sorted(times, reverse=True)[len(voters) // 2]
+
+    def refresh_live(self, leading: Leading) -> None:
+        """Update the live list; a new leader keeps the old one for one lease."""
+        now = self.surroundings.clock.elapsed()
+        settings = self.surroundings.settings
+        if now - leading.since < settings.lease * _CLOCK_MARGIN:
+            return
+        heard = [
+            name
+            for name, peer in leading.peers.items()
+            if peer.heard_at is not None and now - peer.heard_at <= settings.silence
+        ]
+        leading.live = tuple(sorted({self.surroundings.name, *heard}))
+
+    def has_quorum(self, leading: Leading) -> bool:
+        """Tell whether a majority answered this leader within one lease."""
+        age = self.surroundings.clock.elapsed() - self.quorum_contact(leading)
+        return age < self.surroundings.settings.lease
+
+    def lease_valid(self) -> bool:
+        """Tell whether this instance is on the live list by a lease that runs."""
+        if self.surroundings.name not in self.live:
+            return False
+        match self._role:
+            case Leading() as leading:
+                return self.has_quorum(leading)
+        if self._lease_start is None:
+            return False
+        age = self.surroundings.clock.elapsed() - self._lease_start
+        return age < self.surroundings.settings.lease
+
+    def reads_current(self) -> bool:
+        """Tell whether the applied state holds everything accepted anywhere."""
+        match self._role:
+            case Leading(handing_over=False) as leading:
+                age = self.surroundings.clock.elapsed() - self.quorum_contact(leading)
+                return (
+                    age < self.read_lease
+                    and self._commit_index >= leading.first_index
+                    and self._applied_index == self._commit_index
+                )
+        return False
+
+    @property
+    def read_lease(self) -> timedelta:
+        """How long nobody can be elected after a majority answered a leader."""
+        settings = self.surroundings.settings
+        return settings.shortest_election * settings.read_share
+
+    def may_commit(self, index: int) -> bool:
+        """Tell whether counting copies commits an entry: only in the current term.
+
+        An entry of an older term on a majority can still be replaced by a leader that
+        lacks it; it is committed by the first entry of the current term after it.
+        """
+        return self.log.term_at(index) == self.log.term
+
+    def majority_index(self, leading: Leading) -> int:
+        """Return the last index that is synced at a majority of voters."""
+        voters: Iterable[Voter] = self.log.voters.voters
+        synced = sorted(
+            (leading.matched.get(voter, 0) for voter in voters), reverse=True
+        )
+        return synced[len(synced) // 2]
--- /dev/null
+++ b/src/lovagetray/commands/agreement/_replication.py
@@ -0,0 +1,119 @@
+"""Sends the log to the other instances and counts what they have synced."""
+
+from lovagetray._log_entries import FollowerBeat
+from lovagetray._peer_messages import (
+    AppendEntries,
+    AppendReply,
+    SnapshotChunk,
+    SnapshotReply,
+)
+from lovagetray.commands.agreement._replica import Replica
+from lovagetray.commands.agreement._roles import Leading, PeerProgress
+
+
+class Replication:
+    """One task for each peer, and the replies that it gets."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+
+    async def run_peer(self, name: str) -> None:
+        """Send the log to one peer whenever this instance leads."""
+        replica = self._replica
+        surroundings = replica.surroundings
+        signal = replica.add_peer(name)
+        while True:
+            match replica.role:
+                case Leading() as leading:
+                    message = self._next_message(leading, name)
+                    await surroundings.link.send(name, message)
+                    await surroundings.clock.within(
+                        surroundings.settings.heartbeat, signal.wait()
+                    )
+                case _:
+                    await signal.wait()
+            signal.clear()
+
+    def _next_message(
+        self, leading: Leading, name: str
+    ) -> AppendEntries | SnapshotChunk:
+        log, settings = self._replica.log, self._replica.surroundings.settings
+        progress = leading.progress(name)
+        beat = self._replica.leader_beat(leading, name)
+        if progress.next_index <= log.base_index:
+            if progress.chunk_index != log.base_index:
+                progress.chunk_index, progress.chunk_offset = log.base_index, 0
+            encoded, start = log.encoded_snapshot, progress.chunk_offset
+            part = encoded[start : start + settings.chunk_bytes]
+            return SnapshotChunk(beat, log.base_index, start, len(encoded), part)
+        previous = progress.next_index - 1
+        entries = log.entries_from(progress.next_index, settings.batch_bytes)
+        # The next batch follows at once; a lost one is found by the next heartbeat.
+        progress.next_index += len(entries)
+        return AppendEntries(beat, previous, log.term_at(previous), entries)
+
+    async def appended(self, sender: str, reply: AppendReply) -> None:
+        """Count what a peer has synced and send it what it lacks."""
+        leading = await self._progress_of(sender, reply.beat)
+        if leading is None:
+            return
+        progress = leading.progress(sender)
+        voter = reply.beat.voter
+        if reply.accepted:
+            leading.matched[voter] = max(leading.matched.get(voter, 0), reply.index)
+            progress.next_index = max(progress.next_index, reply.index + 1)
+            await self.advance_commit()
+        else:
+            matched = leading.matched.get(voter, 0)
+            retry = min(progress.next_index, reply.index + 1)
+            progress.next_index = max(retry, matched + 1)
+        if progress.next_index <= self._replica.log.last_index:
+            await self._replica.wake_peer(sender)
+
+    async def collected(self, sender: str, reply: SnapshotReply) -> None:
+        """Send the next part of a snapshot."""
+        leading = await self._progress_of(sender, reply.beat)
+        if leading is None:
+            return
+        progress = leading.progress(sender)
+        if progress.chunk_index == reply.index:
+            progress.chunk_offset = reply.offset
+            await self._replica.wake_peer(sender)
+
+    async def advance_commit(self) -> None:
+        """Commit what a majority of voters has synced."""
+        replica = self._replica
+        match replica.role:
+            case Leading() as leading:
+                index = replica.majority_index(leading)
+                if index > replica.commit_index and replica.may_commit(index):
+                    await replica.commit_to(index)
+                    await replica.wake_peers()
+
+    async def _progress_of(self, sender: str, beat: FollowerBeat) -> Leading | None:
+        """Record a sign of life; return the role if the reply is for its term."""
+        replica = self._replica
+        if beat.term > replica.log.term:
+            async with replica.lock:
+                if beat.term > replica.log.term:
+                    await replica.advance_term(beat.term)
+        match replica.role:
+            case Leading() as leading if beat.term == replica.log.term:
+                self._record(leading, leading.progress(sender), beat)
+                return leading
+        return None
+
+    def _record(
+        self, leading: Leading, progress: PeerProgress, beat: FollowerBeat
+    ) -> None:
+        if progress.voter not in (None, beat.voter):
+            # The peer came back with an empty disk or memory under a new identity.
+            progress.next_index = leading.matched.get(beat.voter, 0) + 1
+            progress.chunk_index = 0
+        progress.voter = beat.voter
+        progress.durable = beat.durable
+        progress.applied = beat.applied
+        progress.heard_at = self._replica.surroundings.clock.elapsed()
+        progress.confirmed = beat.stamp
+        contacted = leading.contacted.get(beat.voter, leading.since)
+        leading.contacted[beat.voter] = max(contacted, beat.answers)
--- /dev/null
+++ b/src/lovagetray/commands/agreement/_roles.py
@@ -0,0 +1,82 @@
+"""The roles of an instance in the replicated log."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from lovagetray._log_entries import Stamp, Voter
+
+RequestKey = tuple[str, bytes]
+
+
+@dataclass(slots=True)
+class PeerProgress:
+    """What a leader knows about one peer.
+
+    Parameters
+    ----------
+    next_index
+        The first entry that was not sent yet.
+    heard_at
+        When any reply of this term came, on the leader's monotonic clock.
+    confirmed
+        The newest stamp in a reply.
+    chunk_index, chunk_offset
+        The snapshot that is being sent and how many of its bytes the peer holds.
+    """
+
+    next_index: int
+    voter: Voter | None = None
+    durable: bool = False
+    applied: int = 0
+    heard_at: timedelta | None = None
+    confirmed: Stamp | None = None
+    chunk_index: int = 0
+    chunk_offset: int = 0
+
+
+@dataclass(slots=True)
+class Following:
+    """Not a leader; `leader` is who leads the current term, if known."""
+
+    leader: Voter | None
+
+
+@dataclass(slots=True)
+class Leading:
+    """Leads the current term.
+
+    Parameters
+    ----------
+    since
+        When the election was won, on the monotonic clock.
+    first_index
+        The index of the first entry of the term.
+    matched
+        The last index that is synced at each instance.
+    contacted
+        When the newest message that each instance answered was sent.
+    origins
+        Instances that wait for the outcome of a proposal.
+    in_flight
+        Proposals that were appended in this term and not applied yet.
+    handing_over
+        Set before another instance may be elected early; never cleared in a term, so
+        that a refused proposal stays refused and no current read is answered.
+    """
+
+    since: timedelta
+    first_index: int
+    live: tuple[str, ...]
+    peers: dict[str, PeerProgress] = field(default_factory=dict)
+    matched: dict[Voter, int] = field(default_factory=dict)
+    contacted: dict[Voter, timedelta] = field(default_factory=dict)
+    origins: dict[RequestKey, set[str]] = field(default_factory=dict)
+    in_flight: set[RequestKey] = field(default_factory=set)
+    handing_over: bool = False
+
+    def progress(self, name: str) -> PeerProgress:
+        """Return what is known about a peer, which may have just joined."""
+        return self.peers.setdefault(name, PeerProgress(self.first_index))
+
+
+Role = Following | Leading
--- /dev/null
+++ b/src/lovagetray/commands/agreement/_settings.py
@@ -0,0 +1,53 @@
+"""The constants of the replicated log."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+
+class AgreementSettings(NamedTuple):
+    """Times and sizes of the replicated log.
+
+    Parameters
+    ----------
+    heartbeat
+        Longest time between two messages of the leader to a peer.
+    lease
+        A leader without a majority for this long steps down; an instance holds its
+        place on the live list for this long after the leader confirmed it.
+    shortest_election, longest_election
+        Range of the random time without a leader after which an election starts.
+        Nobody votes within the shortest time after it heard a leader.
+    read_share
+        The share of `shortest_election` for which a leader answers current reads after
+        a majority confirmed it; the rest covers clocks of different speed.
+    silence
+        A silent instance leaves the live list after this time.
+    ballot
+        How long a candidate collects votes.
+    propose_limit, resend
+        How long a proposal is tried, and how long each attempt waits for an outcome.
+    retention
+        How long outcomes are kept, by the times of proposals.
+    clock_tolerance
+        How far ahead of the leader's wall clock the time of a proposal may be.
+    snapshot_every
+        Applied entries between two snapshots.
+    batch_bytes, chunk_bytes, proposal_bytes
+        Largest batch of entries, part of a snapshot, and body of a proposal.
+    """
+
+    heartbeat: timedelta = timedelta(milliseconds=200)
+    lease: timedelta = timedelta(seconds=2)
+    shortest_election: timedelta = timedelta(seconds=1)
+    longest_election: timedelta = timedelta(seconds=2)
+    read_share: float = 0.9
+    silence: timedelta = timedelta(milliseconds=1500)
+    ballot: timedelta = timedelta(milliseconds=500)
+    propose_limit: timedelta = timedelta(seconds=5)
+    resend: timedelta = timedelta(milliseconds=700)
+    retention: timedelta = timedelta(hours=24)
+    clock_tolerance: timedelta = timedelta(minutes=5)
+    snapshot_every: int = 1000
+    batch_bytes: int = 256 * 1024
+    chunk_bytes: int = 256 * 1024
+    proposal_bytes: int = 1024 * 1024
--- /dev/null
+++ b/src/lovagetray/queries/agreement/__init__.py
@@ -0,0 +1,7 @@
+"""Queries about the replicated log."""
+
+from lovagetray.queries.agreement._status import (
+    AgreementStatus,
+    AgreementView,
+    status_of,
+)
--- /dev/null
+++ b/src/lovagetray/queries/agreement/_status.py
@@ -0,0 +1,66 @@
+"""What the replicated log looks like from one instance."""
+
+from collections.abc import Mapping
+from typing import NamedTuple, Protocol
+
+
+class AgreementView(Protocol):
+    """The readable side of an instance's part in the replicated log."""
+
+    @property
+    def term(self) -> int: ...
+
+    @property
+    def leader(self) -> str | None: ...
+
+    @property
+    def commit_index(self) -> int: ...
+
+    @property
+    def applied_index(self) -> int: ...
+
+    @property
+    def live(self) -> tuple[str, ...]: ...
+
+    @property
+    def applied_by(self) -> Mapping[str, int]: ...
+
+    def lease_valid(self) -> bool: ...
+
+
+class AgreementStatus(NamedTuple):
+    """The state of the replicated log, as one instance knows it.
+
+    Parameters
+    ----------
+    lag
+        Entries that are committed but not applied, for each instance that this one
+        knows about: all of them on the leader, itself elsewhere.
+    lease
+        Whether the instance holds a lease.
+    """
+
+    term: int
+    leader: str | None
+    commit_index: int
+    applied_index: int
+    live: tuple[str, ...]
+    lag: dict[str, int]
+    lease: bool
+
+
+def status_of(agreement: AgreementView) -> AgreementStatus:
+    """Return the state of the replicated log."""
+    commit = agreement.commit_index
+    return AgreementStatus(
+        term=agreement.term,
+        leader=agreement.leader,
+        commit_index=commit,
+        applied_index=agreement.applied_index,
+        live=agreement.live,
+        lag={
+            name: max(0, commit - applied)
+            for name, applied in sorted(agreement.applied_by.items())
+        },
+        lease=agreement.lease_valid(),
+    )
--- a/src/lovagetray/wire/__init__.py
+++ b/src/lovagetray/wire/__init__.py
@@ -12,10 +12,21 @@
 from lovagetray.wire._http import HttpRequest, HttpResponse
 from lovagetray.wire._http_client import HttpConnection
 from lovagetray.wire._http_server import HttpLimits, HttpServer
+from lovagetray.wire._log_codec import (
+    LogContent,
+    decode_log,
+    decode_snapshot,
+    decode_vote,
+    encode_entries,
+    encode_snapshot,
+    encode_vote,
+)
 from lovagetray.wire._peer_codec import (
     decode_envelope,
+    decode_failure_frame,
     decode_outcome,
     encode_envelope,
+    encode_failure_frame,
     encode_outcome,
 )
 from lovagetray.wire._peers import Peers
--- a/src/lovagetray/wire/_peer_codec.py
+++ b/src/lovagetray/wire/_peer_codec.py
@@ -41,14 +41,30 @@
         return Error(MalformedRequest(str(error)))
 
 
+def encode_failure_frame(failure: Failure) -> FailureFrame:
+    """Return the frame of a failure."""
+    return FailureFrame(failure.code, to_builtins(failure))
+
+
+def decode_failure_frame(frame: FailureFrame) -> Failure | None:
+    """Return the failure in a frame, or None if it is unknown or malformed."""
+    kind = _failures.get(frame.code)
+    if kind is None:
+        return None
+    try:
+        failure: Failure = convert(frame.fields, kind)
+    except ValidationError:
+        return None
+    return failure
+
+
 def encode_outcome(request_id: str, result: Result[SubReply, Failure]) -> OutcomeFrame:
     """Return the frame of one outcome."""
     match result:
         case Result(tag="ok", ok=reply):
             return OutcomeFrame(request_id, reply, None)
         case Result(error=failure):
-            fields = to_builtins(failure)
-            return OutcomeFrame(request_id, None, FailureFrame(failure.code, fields))
+            return OutcomeFrame(request_id, None, encode_failure_frame(failure))
 
 
 def decode_outcome(frame: OutcomeFrame) -> Result[SubReply, Failure]:
@@ -57,10 +73,4 @@
         return Ok(frame.reply)
     if frame.failure is None:
         return Error(TargetFailed("", 0))
-    kind = _failures.get(frame.failure.code)
-    if kind is None:
-        return Error(TargetFailed("", 0))
-    try:
-        return Error(convert(frame.failure.fields, kind))
-    except ValidationError:
-        return Error(TargetFailed("", 0))
+    return Error(decode_failure_frame(frame.failure) or TargetFailed("", 0))
