Fix the merged exports; let a proposal name what a resend must repeat

Cause: a resend of a settings change from another address differs in its body, and the log would have refused it as another change under the same id. Change: Proposal has an optional fingerprint; the settings log passes the one it already computes. One Proposal record serves both packages.

--- a/features/fakes/agreement_runs.py
+++ b/features/fakes/agreement_runs.py
@@ -1,8 +1,8 @@
 """Randomised runs of the replicated log, each reproducible from its seed."""
 
+import time
 from datetime import timedelta
 from random import Random
-import time
 from typing import NamedTuple
 
 from curio import sleep
--- a/features/fakes/single_log.py
+++ b/features/fakes/single_log.py
@@ -6,7 +6,7 @@
 from expression import Ok, Result
 
 from lovagetray._errors import Failure
-from lovagetray._proposals import Proposal
+from lovagetray._log_entries import Proposal
 from lovagetray.state import SettingsState
 from lovagetray.wire import decode_settings_command, encode_settings_outcome
 
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -8,7 +8,7 @@
 from curio import run
 from fakes.settings_bench import START, SettingsBench
 
-from lovagetray._proposals import Proposal
+from lovagetray._log_entries import Proposal
 from lovagetray._types import (
     Address,
     Announcement,
--- a/src/lovagetray/_log_entries.py
+++ b/src/lovagetray/_log_entries.py
@@ -65,16 +65,20 @@
         Names the change; a resend with the same id gets the first outcome.
     at
         When the caller issued it, in UTC; the same for every resend.
+    fingerprint
+        What a resend must repeat, if that is not the whole body.
     """
 
     request_id: str
     at: datetime
     body: bytes
+    fingerprint: str = ""
 
     @property
     def digest(self) -> bytes:
-        """A hash of the body, to tell a resend from a conflict."""
-        return blake2b(self.body, digest_size=16).digest()
+        """A hash that tells a resend from another change under the same id."""
+        repeated = self.fingerprint.encode() or self.body
+        return blake2b(repeated, digest_size=16).digest()
 
 
 class EntryKind(Enum):
--- a/src/lovagetray/_proposals.py
+++ b/src/lovagetray/_proposals.py
@@ -1,29 +1,11 @@
 """What commands need from the replicated log."""
 
-from datetime import datetime
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from expression import Result
 
 from lovagetray._errors import Failure
-
-
-class Proposal(NamedTuple):
-    """An entry that should be appended to the replicated log.
-
-    Parameters
-    ----------
-    request_id
-        A resend with the same id yields the first outcome and no second entry.
-    at
-        The UTC time of the instance that proposes; it becomes the time of the entry.
-    body
-        The encoded command; the log does not look into it.
-    """
-
-    request_id: str
-    at: datetime
-    body: bytes
+from lovagetray._log_entries import Proposal
 
 
 class Proposer(Protocol):
--- a/src/lovagetray/commands/settings/_settings_log.py
+++ b/src/lovagetray/commands/settings/_settings_log.py
@@ -10,11 +10,13 @@
 from lovagetray._errors import (
     Failure,
     RefusedSettings,
+    RequestIdConflict,
     RequestIdReused,
     RevisionAhead,
     UnreadableOutcome,
 )
-from lovagetray._proposals import Proposal, Proposer
+from lovagetray._log_entries import Proposal
+from lovagetray._proposals import Proposer
 from lovagetray._settings_errors import ProblemCode, TreeProblem
 from lovagetray.state import (
     Accepted,
@@ -79,11 +81,16 @@
                 )
         body = encode_settings_command(command)
         proposal = Proposal(
-            _ID_PREFIX + request.origin.request_id, self._clock.now(), body
+            _ID_PREFIX + request.origin.request_id,
+            self._clock.now(),
+            body,
+            request.origin.fingerprint,
         )
         match await self._proposer.propose(proposal):
             case Result(tag="ok", ok=encoded):
                 return _read_outcome(request, encoded)
+            case Result(error=RequestIdConflict()):
+                return Error(RequestIdReused(request.origin.request_id))
             case Result(error=failure):
                 return Error(failure)
 
--- a/src/lovagetray/wire/__init__.py
+++ b/src/lovagetray/wire/__init__.py
@@ -13,22 +13,21 @@
 from lovagetray.wire._http_client import HttpConnection
 from lovagetray.wire._http_server import HttpLimits, HttpServer
 from lovagetray.wire._ledger_codec import (
-    LogContent,
     decode_ledger_command,
     decode_ledger_reply,
     decode_ledger_snapshot,
+    encode_ledger_command,
+    encode_ledger_reply,
+    encode_ledger_snapshot,
+)
+from lovagetray.wire._log_codec import (
+    LogContent,
     decode_log,
     decode_snapshot,
     decode_vote,
     encode_entries,
-    encode_ledger_command,
-    encode_ledger_reply,
-    encode_ledger_snapshot,
     encode_snapshot,
     encode_vote,
-    from,
-    import,
-    lovagetray.wire._log_codec,
 )
 from lovagetray.wire._peer_codec import (
     decode_envelope,
