Give each replica one owner with a bounded pool and a claim protocol

The thin pool kept as many connections as slots, had no cancellation and let two instances use one replica while ownership moved. Now a pool refuses a job whose expected wait exceeds its time left, starts one task per connection on demand, lowers its slots after a cold start and a shed reply, and repeats an idempotent exchange once on a fresh connection after silence. Ownership moves by claim and release messages; former owners that did not confirm are subtracted from the limits.

--- a/src/lovagetray/_peer_messages.py
+++ b/src/lovagetray/_peer_messages.py
@@ -4,7 +4,14 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
-from lovagetray._types import Announcement, InstanceId, SubReply, SubRequest
+from lovagetray._types import (
+    Announcement,
+    ExecuteReply,
+    ExecuteRequest,
+    InstanceId,
+    SubReply,
+    SubRequest,
+)
 from lovagetray.state import InstanceRecord
 
 
@@ -39,6 +46,22 @@
     failure: FailureFrame | None
 
 
+class ExecutionFrame(NamedTuple):
+    """The outcome of one execution; exactly one of reply and failure is set."""
+
+    request_id: str
+    reply: ExecuteReply | None
+    failure: FailureFrame | None
+
+
+class ReplicaClaim(NamedTuple):
+    """A claim on a replica; `number` differs for each claim of one run."""
+
+    service: str
+    target: str
+    number: int
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Tells a peer that this instance is alive and what it is."""
@@ -81,6 +104,35 @@
     request_ids: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RunExecutions:
+    """Non-idempotent requests for replicas that the receiver owns."""
+
+    requests: tuple[ExecuteRequest, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutionOutcomes:
+    """Outcomes of executions that the receiver sent."""
+
+    outcomes: tuple[ExecutionFrame, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimReplicas:
+    """Asks the receiver to stop using replicas that the sender owns from now on."""
+
+    claims: tuple[ReplicaClaim, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReleasedReplicas:
+    """Tells a claimer that the sender has nothing in flight and no connection open."""
+
+    claimer: InstanceId
+    claims: tuple[ReplicaClaim, ...]
+
+
 PeerMessage = (
     Heartbeat
     | Announced
@@ -88,6 +140,10 @@
     | RunSubRequests
     | SubRequestOutcomes
     | CancelSubRequests
+    | RunExecutions
+    | ExecutionOutcomes
+    | ClaimReplicas
+    | ReleasedReplicas
 )
 
 
--- a/src/lovagetray/_telemetry.py
+++ b/src/lovagetray/_telemetry.py
@@ -39,6 +39,40 @@
 )
 
 
+REPLICA_CONNECTIONS = Gauge(
+    "lovagetray_replica_connections",
+    "Connections to replicas that are open",
+    ["service"],
+)
+REPLICA_SLOTS = Gauge(
+    "lovagetray_replica_slots_in_use",
+    "Slots of replicas that this instance uses",
+    ["service"],
+)
+QUEUE_WAIT_SECONDS = Histogram(
+    "lovagetray_queue_wait_seconds",
+    "Time that sub-requests waited for a slot at the owner",
+    ["service"],
+    buckets=(0.001, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.33, 1),
+)
+SHEDS = Counter("lovagetray_sheds_total", "Requests that replicas shed", ["service"])
+SILENT_CONNECTIONS = Counter(
+    "lovagetray_silent_connections_total",
+    "Connections found dead because a fresh one to the same replica answered",
+    ["service"],
+)
+OWNERSHIP_MOVES = Counter(
+    "lovagetray_ownership_moves_total",
+    "Replicas that this instance took over",
+    ["service"],
+)
+RELAYS_REFUSED = Counter(
+    "lovagetray_relayed_announcements_refused_total",
+    "Relayed announcements that were stale or contradicted what is known",
+    ["code"],
+)
+
+
 def configure_logging() -> None:
     """Write log events as JSON lines to standard error."""
     configure(
--- a/src/lovagetray/_types.py
+++ b/src/lovagetray/_types.py
@@ -131,6 +131,62 @@
     queue_wait: timedelta
 
 
+class ReplicaKey(NamedTuple):
+    """Names a replica over all incarnations of its target."""
+
+    service: str
+    target: str
+
+
+class Allowance(NamedTuple):
+    """What an instance may use of a replica now.
+
+    Parameters
+    ----------
+    slots, connections
+        Requests in flight and connections open at once.
+    orphaned
+        Whether the lease has ended, so that work above the allowance is cut off.
+    ready_in
+        Time until slots are expected when there are none.
+    """
+
+    slots: int
+    connections: int
+    orphaned: bool = False
+    ready_in: timedelta = timedelta(0)
+
+
+class ExecuteRequest(NamedTuple):
+    """A non-idempotent request for one replica.
+
+    Parameters
+    ----------
+    request_id
+        Unique for each attempt.
+    key
+        The caller's idempotency key.
+    body
+        A JSON document that is passed to the target unchanged.
+    budget
+        Time left when the request was sent.
+    """
+
+    request_id: str
+    service: str
+    target: str
+    key: str
+    body: bytes
+    budget: timedelta
+
+
+class ExecuteReply(NamedTuple):
+    """A replica's reply to a non-idempotent request: its JSON document."""
+
+    request_id: str
+    body: bytes
+
+
 class MissingReason(Enum):
     """Why a shard is missing from an answer."""
 
--- a/src/lovagetray/commands/membership/__init__.py
+++ b/src/lovagetray/commands/membership/__init__.py
@@ -6,3 +6,8 @@
     digest,
     newer_than,
 )
+from lovagetray.commands.membership._transfer import (
+    OwnershipTransfer,
+    PeerSender,
+    ReplicaUse,
+)
--- a/src/lovagetray/commands/membership/_announce.py
+++ b/src/lovagetray/commands/membership/_announce.py
@@ -12,6 +12,7 @@
     AnnouncementDigest,
     KnownTarget,
 )
+from lovagetray._telemetry import RELAYS_REFUSED
 from lovagetray._types import Announcement
 from lovagetray.state import Directory
 
@@ -30,10 +31,12 @@
 
 
 def accept_relayed(directory: Directory, message: Announced, clock: Clock) -> None:
-    """Record announcements that a peer relayed; old or contradicting ones are lost."""
+    """Record announcements that a peer relayed; refused ones are counted."""
     now = clock.elapsed()
     for item in message.items:
-        directory.accept(item.announcement, now - item.age)
+        match directory.accept(item.announcement, now - item.age):
+            case Result(tag="error", error=failure):
+                RELAYS_REFUSED.labels(failure.code).inc()
 
 
 def digest(directory: Directory) -> AnnouncementDigest:
--- /dev/null
+++ b/src/lovagetray/commands/membership/_transfer.py
@@ -0,0 +1,315 @@
+"""Moves the ownership of replicas between instances, so that limits hold in sum."""
+
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from itertools import count
+from typing import Protocol
+
+from structlog import get_logger
+
+from lovagetray._clock import Clock
+from lovagetray._peer_messages import (
+    ClaimReplicas,
+    PeerMessage,
+    ReleasedReplicas,
+    ReplicaClaim,
+)
+from lovagetray._telemetry import OWNERSHIP_MOVES
+from lovagetray._types import Allowance, Announcement, InstanceId, ReplicaKey
+from lovagetray.commands.membership._claims import (
+    LEASE_ENDED,
+    Claim,
+    FormerOwner,
+    orphan_allowance,
+)
+from lovagetray.queries.membership import owner_of, ownership_ranking
+from lovagetray.state import Directory, InstanceRecord, LeaseView, Members
+
+_log = get_logger()
+_RESEND = timedelta(milliseconds=500)
+# Within this time after an instance joins the list, all others have released to it.
+_SETTLED = timedelta(seconds=10)
+# A process that did not look at its lease for longer may have lost it unnoticed.
+_LONGEST_GAP = timedelta(seconds=1)
+_NOT_CLAIMED = Allowance(0, 0, orphaned=True)
+_GIVEN_UP = Allowance(0, 0, orphaned=True, ready_in=timedelta(hours=1))
+
+
+class PeerSender(Protocol):
+    """Sends messages to other instances."""
+
+    async def send(self, name: str, message: PeerMessage) -> bool:
+        """Queue a message to a peer; return whether the peer is known."""
+
+
+class ReplicaUse(Protocol):
+    """What this instance does with replicas."""
+
+    def in_use(self, key: ReplicaKey) -> bool:
+        """Tell whether work is in flight at a replica or a connection to it open."""
+
+    async def release(self, key: ReplicaKey) -> None:
+        """Take no new work for a replica, finish what runs and close connections."""
+
+
+class OwnershipTransfer:
+    """Claims the replicas that this instance owns and releases the others.
+
+    Parameters
+    ----------
+    peer_names
+        Returns the names of all other instances, known from settings or heard of.
+    orphan_limit
+        How long an owner without a lease goes on with one connection.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        members: Members,
+        lease: LeaseView,
+        peers: PeerSender,
+        peer_names: Callable[[], Iterable[str]],
+        clock: Clock,
+        orphan_limit: timedelta,
+    ) -> None:
+        self._directory = directory
+        self._members = members
+        self._lease = lease
+        self._peers = peers
+        self._peer_names = peer_names
+        self._clock = clock
+        self._orphan_limit = orphan_limit
+        self._numbers = count(1)
+        self._claims: dict[ReplicaKey, Claim] = {}
+        self._owed: dict[ReplicaKey, dict[InstanceId, ReplicaClaim]] = {}
+        self._last_live: dict[str, timedelta] = {}
+        self._started_at = clock.elapsed()
+        self._lease_at: timedelta | None = None
+        self._lease_since: timedelta | None = None
+
+    def owner(self, announcement: Announcement) -> str | None:
+        """Return the name of the instance that owns a replica by the last list."""
+        live = self._lease.live()
+        if live is None:
+            return None
+        owner = owner_of(announcement, self._records(live))
+        return None if owner is None else owner.instance.name
+
+    def allowance(self, announcement: Announcement) -> Allowance:
+        """Return what this instance may use of a replica now."""
+        claim = self._claims.get(ReplicaKey(announcement.service, announcement.target))
+        if claim is None:
+            return _NOT_CLAIMED
+        now = self._clock.elapsed()
+        if self._holds_lease(now):
+            return claim.allowance(announcement, now)
+        used = claim.complete or claim.kept
+        expired = self._lease_at is None or now - self._lease_at > self._orphan_limit
+        if not used or expired:
+            return _GIVEN_UP
+        return orphan_allowance(announcement)
+
+    def owns(self, announcement: Announcement) -> bool:
+        """Tell whether new work for a replica is accepted here."""
+        key = ReplicaKey(announcement.service, announcement.target)
+        claim = self._claims.get(key)
+        if claim is not None and not claim.releasing:
+            return True
+        return (
+            claim is None
+            and self._holds_lease(self._clock.elapsed())
+            and self.owner(announcement) == self._own_name
+        )
+
+    async def follow(self, use: ReplicaUse) -> None:
+        """Claim and release according to the list; call several times each second."""
+        now = self._clock.elapsed()
+        live = self._lease.live()
+        if live is not None and self._holds_lease(now):
+            for name in live:
+                self._last_live[name] = now
+            await self._follow_list(live, use, now)
+            await self._ask(now)
+        await self._answer(use)
+
+    async def claimed(
+        self, sender: InstanceId, message: ClaimReplicas, use: ReplicaUse
+    ) -> None:
+        """Release what another instance claims, unless this one goes before it."""
+        for asked in message.claims:
+            key = ReplicaKey(asked.service, asked.target)
+            if self._goes_before(sender, key):
+                continue
+            owed = self._owed.setdefault(key, {})
+            for other in [one for one in owed if one.name == sender.name]:
+                del owed[other]
+            owed[sender] = asked
+            await self._release(key, use)
+        await self._answer(use)
+
+    def released(self, sender: InstanceId, message: ReleasedReplicas) -> None:
+        """Record that another instance released replicas to this one."""
+        if message.claimer != self._members.myself.instance:
+            return
+        for answered in message.claims:
+            claim = self._claims.get(ReplicaKey(answered.service, answered.target))
+            if claim is not None and claim.number == answered.number:
+                claim.released_by(sender.name)
+
+    async def release_all(self, use: ReplicaUse) -> None:
+        """Release every replica, on the way to a stop."""
+        for key in list(self._claims):
+            await self._release(key, use)
+        await self._answer(use)
+
+    def held(self) -> int:
+        """Return how many replicas this instance claims or holds."""
+        return len(self._claims)
+
+    @property
+    def _own_name(self) -> str:
+        return self._members.myself.instance.name
+
+    def _holds_lease(self, now: timedelta) -> bool:
+        """Tell whether the lease is valid; restart all claims after a gap."""
+        if not self._lease.lease_valid():
+            self._lease_since = None
+            return False
+        unseen = self._lease_at is None or now - self._lease_at > _LONGEST_GAP
+        if self._lease_since is None or unseen:
+            self._lease_since = now
+            for key, claim in list(self._claims.items()):
+                if not claim.releasing:
+                    kept = claim.complete or claim.kept
+                    self._claims[key] = self._new_claim(key, kept)
+        self._lease_at = now
+        return True
+
+    async def _follow_list(
+        self, live: frozenset[str], use: ReplicaUse, now: timedelta
+    ) -> None:
+        records = self._records(live)
+        owned = set()
+        for listing in self._directory.listings():
+            announcement = listing.announcement
+            owner = owner_of(announcement, records)
+            if owner is not None and owner.instance.name == self._own_name:
+                owned.add(ReplicaKey(announcement.service, announcement.target))
+        for key in owned - self._claims.keys() - self._owed.keys():
+            self._claims[key] = self._new_claim(key, kept=False)
+        for key, claim in list(self._claims.items()):
+            if key not in owned or claim.releasing:
+                await self._release(key, use)
+                continue
+            self._update(claim, live, now)
+
+    def _new_claim(self, key: ReplicaKey, kept: bool) -> Claim:
+        """Return a claim that waits for every instance that may use the replica."""
+        claim = Claim(key, next(self._numbers), kept)
+        live = self._lease.live() or frozenset()
+        listing = self._directory.listing(key.service, key.target)
+        for name in {*self._peer_names(), *live, *self._last_live} - {self._own_name}:
+            if name in live:
+                claim.awaiting.add(name)
+            elif listing is None or self._may_have_owned(listing.announcement, name):
+                claim.former[name] = self._former(name)
+        return claim
+
+    def _update(self, claim: Claim, live: frozenset[str], now: timedelta) -> None:
+        """Take in instances that left the list, restarted or were gone too long."""
+        for name in claim.awaiting - live:
+            claim.awaiting.discard(name)
+            claim.former[name] = self._former(name)
+        for name, former in list(claim.former.items()):
+            record = self._members.record(name)
+            known = former.instance is not None and record is not None
+            if known and record is not None and record.instance != former.instance:
+                claim.released_by(name)
+        claim.forget(now)
+        before = claim.complete
+        listing = self._directory.listing(claim.key.service, claim.key.target)
+        if listing is not None:
+            claim.allowance(listing.announcement, now)
+        if claim.complete and not before:
+            claim.kept = False
+            OWNERSHIP_MOVES.labels(claim.key.service).inc()
+            _log.info(
+                "replica_owned",
+                service=claim.key.service,
+                target=claim.key.target,
+                unconfirmed=sorted(claim.former),
+            )
+
+    def _may_have_owned(self, announcement: Announcement, name: str) -> bool:
+        """Tell whether an instance that is not live may have owned a replica.
+
+        One ranked above this instance may. One ranked below may as well, unless it was
+        live while this instance was, for long enough to release everything to it.
+        """
+        last_live = self._last_live.get(name)
+        record = self._members.record(name)
+        if last_live is None or record is None or self._lease_since is None:
+            return True
+        ranking = ownership_ranking(announcement, [self._members.myself, record])
+        return ranking[0] == record or last_live - self._lease_since < _SETTLED
+
+    def _former(self, name: str) -> FormerOwner:
+        record = self._members.record(name)
+        lease_ends = self._last_live.get(name, self._started_at) + LEASE_ENDED
+        instance = None if record is None else record.instance
+        return FormerOwner(instance, lease_ends, lease_ends + self._orphan_limit)
+
+    def _goes_before(self, sender: InstanceId, key: ReplicaKey) -> bool:
+        """Tell whether this instance owns a replica and ranks above a claimer."""
+        listing = self._directory.listing(key.service, key.target)
+        record = self._members.record(sender.name)
+        if listing is None or record is None or key not in self._claims:
+            return False
+        announcement = listing.announcement
+        if not self._holds_lease(self._clock.elapsed()):
+            return False
+        if self.owner(announcement) != self._own_name:
+            return False
+        ranking = ownership_ranking(announcement, [self._members.myself, record])
+        return ranking[0] == self._members.myself
+
+    async def _release(self, key: ReplicaKey, use: ReplicaUse) -> None:
+        """Give up a claim once nothing is in use; running work goes on until then."""
+        claim = self._claims.get(key)
+        if claim is not None:
+            claim.releasing = True
+        await use.release(key)
+        if not use.in_use(key):
+            self._claims.pop(key, None)
+
+    async def _ask(self, now: timedelta) -> None:
+        """Send claims to all that have not answered, one message to each instance."""
+        asked: dict[str, list[ReplicaClaim]] = {}
+        for key, claim in self._claims.items():
+            recent = claim.asked_at is not None and now - claim.asked_at < _RESEND
+            if claim.releasing or recent or not claim.unanswered:
+                continue
+            claim.asked_at = now
+            for name in claim.unanswered:
+                asked.setdefault(name, []).append(ReplicaClaim(*key, claim.number))
+        for name, claims in asked.items():
+            await self._peers.send(name, ClaimReplicas(tuple(claims)))
+
+    async def _answer(self, use: ReplicaUse) -> None:
+        """Confirm the release of replicas that nothing here uses any more."""
+        answers: dict[InstanceId, list[ReplicaClaim]] = {}
+        for key, owed in list(self._owed.items()):
+            if use.in_use(key):
+                continue
+            self._claims.pop(key, None)
+            del self._owed[key]
+            for claimer, asked in owed.items():
+                answers.setdefault(claimer, []).append(asked)
+        for claimer, claims in answers.items():
+            message = ReleasedReplicas(claimer, tuple(claims))
+            await self._peers.send(claimer.name, message)
+
+    def _records(self, live: Iterable[str]) -> list[InstanceRecord]:
+        records = (self._members.record(name) for name in live)
+        return [record for record in records if record is not None]
--- a/src/lovagetray/entry/_instance.py
+++ b/src/lovagetray/entry/_instance.py
@@ -11,8 +11,12 @@
     Announced,
     AnnouncementDigest,
     CancelSubRequests,
+    ClaimReplicas,
     Envelope,
+    ExecutionOutcomes,
     Heartbeat,
+    ReleasedReplicas,
+    RunExecutions,
     RunSubRequests,
     SubRequestOutcomes,
 )
@@ -20,13 +24,24 @@
 from lovagetray._signals import SignalListener
 from lovagetray._types import InstanceId
 from lovagetray._violations import Violations
-from lovagetray.commands.membership import accept_relayed, digest, newer_than
+from lovagetray.commands.membership import (
+    OwnershipTransfer,
+    accept_relayed,
+    digest,
+    newer_than,
+)
 from lovagetray.entry._command_routes import CommandRoutes
 from lovagetray.entry._query_routes import QueryRoutes
 from lovagetray.entry._router import Router
 from lovagetray.queries.search import Searcher
-from lovagetray.state import Directory, InstanceRecord, InstanceState, Members
-from lovagetray.targets import OwnerRouter
+from lovagetray.state import (
+    Directory,
+    InstanceRecord,
+    InstanceState,
+    MemberLease,
+    Members,
+)
+from lovagetray.targets import HttpDialer, OwnerRouter, PoolTools, ReplicaPools
 from lovagetray.wire import HttpServer, Peers, encode_failure
 
 _log = get_logger()
@@ -35,6 +50,9 @@
 _FORGET_TARGET = timedelta(minutes=1)
 _ADDRESS_LIFETIME = timedelta(seconds=10)
 _STOP_POLL = timedelta(milliseconds=100)
+_OWNERSHIP_ROUND = timedelta(milliseconds=100)
+_ORPHAN_LIMIT = timedelta(minutes=10)
+_RELEASE_LIMIT = timedelta(seconds=5)
 
 
 class EntryInstance:
@@ -59,14 +77,13 @@
         """Serve until SIGTERM or SIGINT; return the exit code."""
         signals = SignalListener((SIGTERM, SIGINT))
         async with TaskGroup(wait=None) as group:
-            self._owners = OwnerRouter(
-                self._directory, self._members, self._peers, self._clock, group
-            )
+            self._assemble_targets(group)
             server = HttpServer(self._router().handle, encode_failure, self._clock)
             listener = server.listen(self._settings.http_address)
             await group.spawn(self._peers.run, self._settings.peers, self._receive)
             await group.spawn(server.run, listener)
             await group.spawn(self._keep_house)
+            await group.spawn(self._keep_ownership)
             self._members.change_own_state(InstanceState.SERVING)
             _log.info("instance_serving", address=str(self._settings.http_address))
             await signals.receive()
@@ -82,8 +99,40 @@
         await server.close_idle()
         while server.open_connections:
             await self._clock.sleep(_STOP_POLL)
+        await self._release_replicas()
         _log.info("instance_stopped")
 
+    async def _release_replicas(self) -> None:
+        """Let running work at replicas end and tell the new owners."""
+        end = self._clock.elapsed() + _RELEASE_LIMIT
+        await self._ownership.release_all(self._pools)
+        while self._ownership.held() and self._clock.elapsed() < end:
+            await self._clock.sleep(_STOP_POLL)
+            await self._ownership.release_all(self._pools)
+
+    def _assemble_targets(self, group: TaskGroup) -> None:
+        self._ownership = OwnershipTransfer(
+            self._directory,
+            self._members,
+            MemberLease(self._members, self._clock),
+            self._peers,
+            lambda: self._peers.names,
+            self._clock,
+            _ORPHAN_LIMIT,
+        )
+        tools = PoolTools(HttpDialer(self._clock), self._clock, self._violations)
+        self._pools = ReplicaPools(
+            self._directory, self._ownership.allowance, tools, group
+        )
+        self._owners = OwnerRouter(
+            self._directory,
+            self._members,
+            self._ownership,
+            self._pools,
+            self._peers,
+            self._clock,
+        )
+
     def _router(self) -> Router:
         searcher = Searcher(
             self._directory, self._owners, self._clock, self._violations
@@ -117,22 +166,33 @@
                 newer = newer_than(self._directory, held, self._clock)
                 if newer.items:
                     await self._peers.send(envelope.sender.name, newer)
-            case RunSubRequests() as batch:
+            case RunSubRequests() | RunExecutions() as batch:
                 await self._owners.run_for_peer(envelope.sender, batch)
-            case SubRequestOutcomes() as outcomes:
+            case SubRequestOutcomes() | ExecutionOutcomes() as outcomes:
                 await self._owners.accept_outcomes(outcomes)
-            case CancelSubRequests():
-                pass
+            case CancelSubRequests() as cancelled:
+                await self._owners.cancel_for_peer(cancelled)
+            case ClaimReplicas() as claims:
+                await self._ownership.claimed(envelope.sender, claims, self._pools)
+            case ReleasedReplicas() as released:
+                self._ownership.released(envelope.sender, released)
 
     async def _keep_house(self) -> None:
         """Compare announcements with peers and expire old state, each second."""
         while True:
             await self._clock.sleep(_HOUSEKEEPING)
-            self._directory.expire(self._clock.elapsed(), _FORGET_TARGET)
-            await self._owners.fail_silent_peers()
+            now = self._clock.elapsed()
+            self._directory.note_round(now)
+            self._directory.expire(now, _FORGET_TARGET)
             await self._peers.broadcast(Heartbeat(self._members.myself))
             await self._peers.broadcast(digest(self._directory))
 
+    async def _keep_ownership(self) -> None:
+        """Follow the list of live instances and apply limits, every 100 ms."""
+        while True:
+            await self._owners.keep()
+            await self._clock.sleep(_OWNERSHIP_ROUND)
+
     def _silence_of(self, name: str) -> timedelta:
         heard_at = self._members.heard_at(name)
         if heard_at is None:
--- a/src/lovagetray/state/__init__.py
+++ b/src/lovagetray/state/__init__.py
@@ -1,6 +1,7 @@
 """State that commands change and queries read."""
 
 from lovagetray.state._directory import Directory, Listing
+from lovagetray.state._lease import LEASE, LeaseView, MemberLease
 from lovagetray.state._members import (
     InstanceRecord,
     InstanceState,
--- a/src/lovagetray/state/_directory.py
+++ b/src/lovagetray/state/_directory.py
@@ -11,10 +11,27 @@
 
 
 class Listing(NamedTuple):
-    """An accepted announcement and when it was last heard, on the monotonic clock."""
+    """An accepted announcement and when it was last heard, on the monotonic clock.
+
+    Parameters
+    ----------
+    ready_at
+        When this incarnation was first known as ready; None if it was ready long before
+        this instance heard of it, or is not ready.
+    contacted_at
+        When an exchange with this incarnation last succeeded; None if none did.
+    """
 
     announcement: Announcement
     heard_at: timedelta
+    ready_at: timedelta | None = None
+    contacted_at: timedelta | None = None
+
+
+# Targets announce each second, so a later first announcement is not a cold start.
+_COLD_SEQUENCE = 10
+# Housekeeping runs each second; a longer gap means that the process was paused.
+_PAUSE = timedelta(milliseconds=1500)
 
 
 class Directory:
@@ -30,6 +47,9 @@
         self._lifetime = lifetime
         self._listings: dict[str, dict[str, Listing]] = {}
         self._layouts: dict[str, dict[int, Snapshot]] = {}
+        self._round_at: timedelta | None = None
+        self._paused_at: timedelta | None = None
+        self._grace_ends = timedelta(0)
 
     @property
     def lifetime(self) -> timedelta:
@@ -55,7 +75,7 @@
         contradiction = self._contradiction(announcement)
         if contradiction is not None:
             return Error(contradiction)
-        listing = Listing(announcement, heard_at)
+        listing = _next_listing(known, announcement, heard_at)
         self._listings.setdefault(announcement.service, {})[
             announcement.target
         ] = listing
@@ -65,6 +85,23 @@
         self._forget_layouts(announcement.service)
         return Ok(listing)
 
+    def contacted(self, service: str, target: str, at: timedelta) -> None:
+        """Record that an exchange with a target succeeded."""
+        listing = self.listing(service, target)
+        if listing is not None:
+            self._listings[service][target] = listing._replace(contacted_at=at)
+
+    def note_round(self, now: timedelta) -> None:
+        """Record a housekeeping round; a gap before it means that this process paused.
+
+        After a pause no target expires for one lifetime, because announcements were
+        sent to an instance that could not read them.
+        """
+        if self._round_at is not None and now - self._round_at > _PAUSE:
+            self._paused_at = self._round_at
+            self._grace_ends = now + self._lifetime
+        self._round_at = now
+
     def expire(self, now: timedelta, forget_after: timedelta) -> None:
         """Drop targets that have been silent for longer than `forget_after`."""
         for service, listings in self._listings.items():
@@ -115,11 +152,20 @@
 
     def usable(self, listing: Listing, now: timedelta) -> bool:
         """Tell whether a target may get new work."""
+        seen_at = max(listing.heard_at, listing.contacted_at or listing.heard_at)
         return (
             listing.announcement.state is TargetState.READY
-            and now - listing.heard_at <= self._lifetime
+            and self._expiry_time(now) - seen_at <= self._lifetime
         )
 
+    def _expiry_time(self, now: timedelta) -> timedelta:
+        """Return the time at which ages count: that before a pause of this process."""
+        if self._round_at is not None and now - self._round_at > _PAUSE:
+            return self._round_at
+        if self._paused_at is not None and now < self._grace_ends:
+            return self._paused_at
+        return now
+
     def _contradiction(self, announcement: Announcement) -> BadAnnouncement | None:
         layouts = self._layouts.get(announcement.service, {})
         for holding in announcement.holdings:
@@ -156,3 +202,21 @@
         and new.state is not TargetState.LEAVING
     )
     return not returned
+
+
+def _next_listing(
+    known: Listing | None, announcement: Announcement, heard_at: timedelta
+) -> Listing:
+    same = (
+        known is not None and known.announcement.incarnation == announcement.incarnation
+    )
+    if known is not None and same:
+        was_ready = known.announcement.state is TargetState.READY
+        ready_at, contacted_at = known.ready_at, known.contacted_at
+        cold = not was_ready and ready_at is None
+    else:
+        ready_at = contacted_at = None
+        cold = announcement.sequence < _COLD_SEQUENCE
+    if announcement.state is TargetState.READY and cold:
+        ready_at = heard_at
+    return Listing(announcement, heard_at, ready_at, contacted_at)
--- a/src/lovagetray/state/_members.py
+++ b/src/lovagetray/state/_members.py
@@ -85,6 +85,10 @@
         sighting = self._sightings.get(name)
         return None if sighting is None else sighting.heard_at
 
+    def sightings(self) -> tuple[Sighting, ...]:
+        """Return what was last heard of every other instance."""
+        return tuple(self._sightings.values())
+
     def live(self, now: timedelta) -> list[InstanceRecord]:
         """Return this instance and those heard lately, in order of name."""
         heard = [
--- a/src/lovagetray/targets/__init__.py
+++ b/src/lovagetray/targets/__init__.py
@@ -1,4 +1,22 @@
 """What the owner of a replica does with it, and how others reach the owner."""
 
-from lovagetray.targets._pool import Job, ReplicaPool, SubOutcome
-from lovagetray.targets._sender import OwnerRouter, SubRequestSender
+from lovagetray.targets._connection import Silent, TargetConnection, TargetDialer
+from lovagetray.targets._http_dialer import HttpDialer
+from lovagetray.targets._pool import ReplicaPool
+from lovagetray.targets._pooled_connection import (
+    ExtraAttempts,
+    PooledConnection,
+    PoolTools,
+    UnlimitedAttempts,
+)
+from lovagetray.targets._pools import ReplicaPools
+from lovagetray.targets._sender import ExecutionSender, OwnerRouter, SubRequestSender
+from lovagetray.targets._work import (
+    Execute,
+    ExecuteOutcome,
+    Job,
+    Reply,
+    Search,
+    SubOutcome,
+    Work,
+)
--- /dev/null
+++ b/src/lovagetray/targets/_http_dialer.py
@@ -0,0 +1,103 @@
+"""Connections to targets over HTTP/1.1."""
+
+from datetime import timedelta
+
+from expression import Error, Ok, Result
+
+from lovagetray._clock import Clock
+from lovagetray._errors import ConnectFailed, Failure
+from lovagetray._types import Announcement
+from lovagetray.targets._connection import Silent, TargetConnection
+from lovagetray.targets._work import Execute, Reply, Search, Work
+from lovagetray.wire import (
+    HttpConnection,
+    HttpResponse,
+    decode_execute_reply,
+    decode_sub_reply,
+    encode_execute_request,
+    encode_sub_request,
+    execute_headers,
+    sub_request_headers,
+)
+
+
+class HttpTargetConnection:
+    """Sends work to a target on one HTTP connection."""
+
+    def __init__(self, connection: HttpConnection) -> None:
+        self._connection = connection
+
+    @property
+    def exchanges(self) -> int:
+        """The exchanges completed so far."""
+        return self._connection.exchanges
+
+    @property
+    def used_at(self) -> timedelta:
+        """When the last exchange ended, on the monotonic clock."""
+        return self._connection.used_at
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another exchange can start on this connection."""
+        return self._connection.reusable
+
+    @property
+    def readable(self) -> bool:
+        """Whether bytes or the end of the stream wait to be read."""
+        return self._connection.readable
+
+    async def exchange(
+        self, work: Work, limit: timedelta, first_byte: timedelta | None
+    ) -> Result[Reply, Failure | Silent]:
+        """Send one request and return its reply within `limit`."""
+        match work:
+            case Search(request=search):
+                path = "/search"
+                headers = sub_request_headers(search, limit)
+                body = encode_sub_request(search)
+            case Execute(request=execute):
+                path = "/execute"
+                headers = execute_headers(execute, limit)
+                body = encode_execute_request(execute)
+        replied = await self._connection.exchange(
+            "POST", path, headers, body, limit, first_byte
+        )
+        match replied:
+            case Result(tag="ok", ok=response):
+                return _decode(work, response)
+            case Result(error=failure):
+                heard = self._connection.heard
+                return Error(failure if heard else Silent(failure))
+
+    async def close(self) -> None:
+        """Close the connection; the target stops work on a running request."""
+        await self._connection.close()
+
+
+class HttpDialer:
+    """Opens HTTP connections to targets."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+
+    async def open(
+        self, announcement: Announcement, limit: timedelta
+    ) -> Result[TargetConnection, ConnectFailed]:
+        """Return a new connection, or a failure after `limit`."""
+        opened = await HttpConnection.open(
+            announcement.target, announcement.address, self._clock, limit
+        )
+        match opened:
+            case Result(tag="ok", ok=connection):
+                return Ok(HttpTargetConnection(connection))
+            case Result(error=failure):
+                return Error(failure)
+
+
+def _decode(work: Work, response: HttpResponse) -> Result[Reply, Failure | Silent]:
+    match work:
+        case Search(request=search):
+            return decode_sub_reply(search, response, timedelta(0))
+        case Execute(request=execute):
+            return decode_execute_reply(execute, response)
--- a/src/lovagetray/targets/_sender.py
+++ b/src/lovagetray/targets/_sender.py
@@ -1,23 +1,47 @@
-"""Sends sub-requests to the owners of their replicas, here or on a peer."""
+"""Sends work to the owners of replicas, here or on a peer."""
 
 from collections.abc import Sequence
-from typing import NamedTuple, Protocol
+from datetime import timedelta
+from typing import Any, NamedTuple, Protocol
 
-from curio import Queue, TaskGroup
-from expression import Error
+from curio import Queue
+from expression import Error, Result
 
 from lovagetray._clock import Clock
 from lovagetray._errors import Failure, NotOwner, PeerLost, PeerUnreachable
 from lovagetray._peer_messages import (
     CancelSubRequests,
+    ExecutionOutcomes,
+    RunExecutions,
     RunSubRequests,
     SubRequestOutcomes,
 )
-from lovagetray._types import InstanceId, SubRequest
-from lovagetray.queries.membership import owner_of
+from lovagetray._types import (
+    ExecuteRequest,
+    InstanceId,
+    SubRequest,
+)
+from lovagetray.commands.membership import OwnershipTransfer, PeerSender
 from lovagetray.state import Directory, Members
-from lovagetray.targets._pool import Job, ReplicaPool, SubOutcome
-from lovagetray.wire import Peers, decode_outcome, encode_outcome
+from lovagetray.targets._pools import ReplicaPools
+from lovagetray.targets._work import (
+    Execute,
+    ExecuteOutcome,
+    Inbox,
+    Job,
+    Search,
+    SubOutcome,
+    Work,
+)
+from lovagetray.wire import (
+    decode_execution,
+    decode_outcome,
+    encode_execution,
+    encode_outcome,
+)
+
+# An outcome that a peer sent at the deadline arrives within this time or is lost.
+_OUTCOME_GRACE = timedelta(milliseconds=500)
 
 
 class SubRequestSender(Protocol):
@@ -30,115 +54,188 @@
         """Tell the owners that outcomes are no longer wanted."""
 
 
+class ExecutionSender(Protocol):
+    """Hands non-idempotent requests to the owners of their replicas."""
+
+    async def execute(self, request: ExecuteRequest, inbox: Queue) -> None:
+        """Send a request at most once; it puts one `ExecuteOutcome` into `inbox`."""
+
+
 class _Pending(NamedTuple):
-    owner: str
-    inbox: Queue
+    """Work that a peer was asked to do."""
+
+    owner: InstanceId
+    job: Job
 
 
 class OwnerRouter:
-    """Routes sub-requests to owners and outcomes back to the queries."""
+    """Routes work to owners and outcomes back to those who wait for them."""
 
     def __init__(
         self,
         directory: Directory,
         members: Members,
-        peers: Peers,
+        ownership: OwnershipTransfer,
+        pools: ReplicaPools,
+        peers: PeerSender,
         clock: Clock,
-        group: TaskGroup,
     ) -> None:
         self._directory = directory
         self._members = members
+        self._ownership = ownership
+        self._pools = pools
         self._peers = peers
         self._clock = clock
-        self._group = group
         self._pending: dict[str, _Pending] = {}
-        self._pools: dict[tuple[str, str, int], ReplicaPool] = {}
+        self._local: dict[str, Job] = {}
 
     async def send(self, requests: Sequence[SubRequest], inbox: Queue) -> None:
         """Send sub-requests; each puts one `SubOutcome` into `inbox`."""
-        now = self._clock.elapsed()
+        remote: dict[str, list[SubRequest]] = {}
         for request in requests:
-            listing = self._directory.listing(request.service, request.target)
-            serving = self._members.serving(now)
-            owner = None if listing is None else owner_of(listing.announcement, serving)
+            job = self._job(Search(request), inbox)
+            owner = self._owner(request.service, request.target)
             if owner is None:
-                await _fail(inbox, request, NotOwner(request.target))
-            elif owner.instance.name == self._members.myself.instance.name:
-                await self._run_here(request, inbox)
+                await job.settle(Error(NotOwner(request.target)))
+            elif owner == self._members.myself.instance:
+                await self._run_here(job)
             else:
-                await self._run_at(owner.instance.name, request, inbox)
+                self._pending[request.request_id] = _Pending(owner, job)
+                remote.setdefault(owner.name, []).append(request)
+        for name, batch in remote.items():
+            if not await self._peers.send(name, RunSubRequests(tuple(batch))):
+                for request in batch:
+                    await self._end(request.request_id, Error(PeerUnreachable(name)))
+
+    async def execute(self, request: ExecuteRequest, inbox: Queue) -> None:
+        """Send a request at most once; it puts one `ExecuteOutcome` into `inbox`."""
+        job = self._job(Execute(request), inbox)
+        owner = self._owner(request.service, request.target)
+        if owner is None:
+            await job.settle(Error(NotOwner(request.target)))
+        elif owner == self._members.myself.instance:
+            await self._run_here(job)
+        else:
+            self._pending[request.request_id] = _Pending(owner, job)
+            if not await self._peers.send(owner.name, RunExecutions((request,))):
+                failure = PeerUnreachable(owner.name)
+                await self._end(request.request_id, Error(failure))
 
     async def cancel(self, request_ids: Sequence[str]) -> None:
         """Tell the owners that outcomes are no longer wanted."""
+        remote: dict[str, list[str]] = {}
         for request_id in request_ids:
             pending = self._pending.pop(request_id, None)
             if pending is not None:
-                await self._peers.send(pending.owner, CancelSubRequests((request_id,)))
-
-    async def run_for_peer(self, sender: InstanceId, message: RunSubRequests) -> None:
-        """Run a peer's sub-requests on replicas that this instance owns."""
+                pending.job.drop()
+                remote.setdefault(pending.owner.name, []).append(request_id)
+                continue
+            await self._cancel_here(request_id)
+        for name, batch in remote.items():
+            await self._peers.send(name, CancelSubRequests(tuple(batch)))
+
+    async def cancel_for_peer(self, message: CancelSubRequests) -> None:
+        """Stop work that a peer no longer wants."""
+        for request_id in message.request_ids:
+            await self._cancel_here(request_id)
+
+    async def run_for_peer(
+        self, sender: InstanceId, message: RunSubRequests | RunExecutions
+    ) -> None:
+        """Run a peer's work on replicas that this instance owns."""
         inbox = _PeerInbox(self._peers, sender.name)
         for request in message.requests:
-            await self._run_here(request, inbox)
-
-    async def accept_outcomes(self, message: SubRequestOutcomes) -> None:
+            match request:
+                case SubRequest():
+                    await self._run_here(self._job(Search(request), inbox))
+                case ExecuteRequest():
+                    await self._run_here(self._job(Execute(request), inbox))
+
+    async def accept_outcomes(
+        self, message: SubRequestOutcomes | ExecutionOutcomes
+    ) -> None:
         """Deliver outcomes that a peer returned; unknown ones came too late."""
-        for frame in message.outcomes:
-            pending = self._pending.pop(frame.request_id, None)
-            if pending is not None:
-                outcome = SubOutcome(frame.request_id, decode_outcome(frame))
-                await pending.inbox.put(outcome)
+        match message:
+            case SubRequestOutcomes(outcomes=sub_requests):
+                for frame in sub_requests:
+                    await self._end(frame.request_id, decode_outcome(frame))
+            case ExecutionOutcomes(outcomes=executions):
+                for execution in executions:
+                    result = decode_execution(execution)
+                    await self._end(execution.request_id, result)
 
     async def fail_silent_peers(self) -> None:
-        """End the sub-requests that wait for a peer that has gone silent."""
+        """End the work that waits for a peer that is gone or lost the outcome."""
         now = self._clock.elapsed()
-        live = {record.instance.name for record in self._members.live(now)}
-        lost = [
-            request_id
-            for request_id, pending in self._pending.items()
-            if pending.owner not in live
-        ]
-        for request_id in lost:
-            pending = self._pending.pop(request_id)
-            await pending.inbox.put(
-                SubOutcome(request_id, Error(PeerLost(pending.owner)))
-            )
-
-    async def _run_at(self, owner: str, request: SubRequest, inbox: Queue) -> None:
-        self._pending[request.request_id] = _Pending(owner, inbox)
-        if not await self._peers.send(owner, RunSubRequests((request,))):
-            del self._pending[request.request_id]
-            await _fail(inbox, request, PeerUnreachable(owner))
-
-    async def _run_here(self, request: SubRequest, inbox: "Queue | _PeerInbox") -> None:
-        listing = self._directory.listing(request.service, request.target)
+        live = {record.instance for record in self._members.live(now)}
+        for request_id, (owner, job) in list(self._pending.items()):
+            if owner not in live or now > job.deadline + _OUTCOME_GRACE:
+                await self._end(request_id, Error(PeerLost(owner.name)))
+
+    async def keep(self) -> None:
+        """Follow ownership, apply limits and end lost work; call every 100 ms."""
+        await self._ownership.follow(self._pools)
+        await self._pools.keep()
+        await self.fail_silent_peers()
+        ended = [name for name, job in self._local.items() if job.settled]
+        for request_id in ended:
+            del self._local[request_id]
+            self._pools.forget(request_id)
+
+    def _job(self, work: Work, inbox: Inbox) -> Job:
+        return Job(work, self._clock.elapsed() + work.request.budget, inbox)
+
+    def _owner(self, service: str, target: str) -> InstanceId | None:
+        """Return the instance that takes work for a replica."""
+        listing = self._directory.listing(service, target)
         if listing is None:
-            await _fail(inbox, request, NotOwner(request.target))
+            return None
+        if self._ownership.owns(listing.announcement):
+            return self._members.myself.instance
+        name = self._ownership.owner(listing.announcement)
+        if name is None or name == self._members.myself.instance.name:
+            return None
+        record = self._members.record(name)
+        return None if record is None else record.instance
+
+    async def _run_here(self, job: Job) -> None:
+        if not self._owns(job.work.request.service, job.work.request.target):
+            await job.settle(Error(NotOwner(job.work.request.target)))
+            return
+        self._local[job.request_id] = job
+        await self._pools.submit(job)
+
+    def _owns(self, service: str, target: str) -> bool:
+        listing = self._directory.listing(service, target)
+        return listing is not None and self._ownership.owns(listing.announcement)
+
+    async def _cancel_here(self, request_id: str) -> None:
+        self._local.pop(request_id, None)
+        await self._pools.cancel(request_id)
+
+    async def _end(self, request_id: str, result: Result[Any, Failure]) -> None:
+        pending = self._pending.pop(request_id, None)
+        if pending is None:
             return
-        announcement = listing.announcement
-        key = (announcement.service, announcement.target, announcement.incarnation)
-        pool = self._pools.get(key)
-        if pool is None:
-            pool = ReplicaPool(announcement, self._clock)
-            self._pools[key] = pool
-            await pool.start(self._group)
-        deadline = self._clock.elapsed() + request.budget
-        await pool.submit(Job(request, deadline, inbox))
+        match pending.job.work, result:
+            case Search(request=request), Result(tag="ok"):
+                now = self._clock.elapsed()
+                self._directory.contacted(request.service, request.target, now)
+        await pending.job.settle(result)
 
 
 class _PeerInbox:
     """Sends outcomes back to the peer that asked for them."""
 
-    def __init__(self, peers: Peers, name: str) -> None:
+    def __init__(self, peers: PeerSender, name: str) -> None:
         self._peers = peers
         self._name = name
 
-    async def put(self, outcome: SubOutcome) -> None:
-        frame = encode_outcome(outcome.request_id, outcome.result)
-        await self._peers.send(self._name, SubRequestOutcomes((frame,)))
-
-
-async def _fail(
-    inbox: "Queue | _PeerInbox", request: SubRequest, failure: Failure
-) -> None:
-    await inbox.put(SubOutcome(request.request_id, Error(failure)))
+    async def put(self, outcome: SubOutcome | ExecuteOutcome) -> None:
+        match outcome:
+            case SubOutcome(request_id=request_id, result=result):
+                frame = encode_outcome(request_id, result)
+                await self._peers.send(self._name, SubRequestOutcomes((frame,)))
+            case ExecuteOutcome(request_id=request_id, result=executed):
+                execution = encode_execution(request_id, executed)
+                await self._peers.send(self._name, ExecutionOutcomes((execution,)))
--- a/src/lovagetray/wire/_http_client.py
+++ b/src/lovagetray/wire/_http_client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client connection: one exchange at a time, through h11."""
 
 from datetime import timedelta
+from select import POLLIN, poll
 from typing import Any
 
 from curio import open_connection
@@ -42,6 +43,19 @@
         self._used_at = clock.elapsed()
         self._exchanges = 0
         self._busy = False
+        self._heard = False
+
+    @property
+    def heard(self) -> bool:
+        """Whether the last exchange received any byte."""
+        return self._heard
+
+    @property
+    def readable(self) -> bool:
+        """Whether bytes or the end of the stream wait to be read."""
+        ready = poll()
+        ready.register(self._stream.fileno(), POLLIN)
+        return bool(ready.poll(0)) or bool(self._h11.trailing_data[0])
 
     @property
     def reusable(self) -> bool:
@@ -82,6 +96,7 @@
         headers: dict[str, str],
         body: bytes,
         limit: timedelta,
+        first_byte: timedelta | None = None,
     ) -> Result[HttpResponse, ConnectionLost | NoReply]:
         """Send one request and return its response.
 
@@ -89,6 +104,8 @@
         ----------
         limit
             Time until the last byte of the response.
+        first_byte
+            Time until the first byte of the response; None if only `limit` counts.
 
         Returns
         -------
@@ -96,10 +113,17 @@
             The response; `ConnectionLost` or `NoReply` if the request may have run.
         """
         self._busy = True
+        self._heard = False
+        started = self._clock.elapsed()
         try:
-            done = await self._clock.within(
-                limit, self._exchange(method, path, headers, body)
+            begun = await self._clock.within(
+                limit if first_byte is None else min(limit, first_byte),
+                self._send(method, path, headers, body),
             )
+            if begun.is_error():
+                return Error(NoReply(self._name))
+            left = limit - (self._clock.elapsed() - started)
+            done = await self._clock.within(left, self._read_response())
         except (OSError, RemoteProtocolError):
             return Error(ConnectionLost(self._name))
         match done:
@@ -119,13 +143,16 @@
     def _finish(self) -> None:
         self._exchanges += 1
         self._used_at = self._clock.elapsed()
-        if self._h11.our_state is DONE and self._h11.their_state is DONE:
+        done = self._h11.our_state is DONE and self._h11.their_state is DONE
+        # Bytes after the response belong to no request.
+        if done and not self._h11.trailing_data[0]:
             self._h11.start_next_cycle()
             self._busy = False
 
-    async def _exchange(
+    async def _send(
         self, method: str, path: str, headers: dict[str, str], body: bytes
-    ) -> Result[HttpResponse, ConnectionLost]:
+    ) -> None:
+        """Send a request and wait for the first bytes of the response."""
         head = Request(
             method=method,
             target=path,
@@ -139,7 +166,12 @@
         payload += self._h11.send(Data(data=body)) or b""
         payload += self._h11.send(EndOfMessage()) or b""
         await self._stream.sendall(payload)
-        return await self._read_response()
+        await self._receive()
+
+    async def _receive(self) -> None:
+        received = await self._stream.recv(_RECEIVE_BYTES)
+        self._heard = self._heard or bool(received)
+        self._h11.receive_data(received)
 
     async def _read_response(self) -> Result[HttpResponse, ConnectionLost]:
         status = 0
@@ -148,7 +180,7 @@
         while True:
             event = self._h11.next_event()
             if event is NEED_DATA:
-                self._h11.receive_data(await self._stream.recv(_RECEIVE_BYTES))
+                await self._receive()
                 continue
             match event:
                 case Response(status_code=status):
--- a/src/lovagetray/wire/_peer_codec.py
+++ b/src/lovagetray/wire/_peer_codec.py
@@ -10,11 +10,12 @@
 from lovagetray._errors import Failure, MalformedRequest, TargetFailed
 from lovagetray._peer_messages import (
     Envelope,
+    ExecutionFrame,
     FailureFrame,
     OutcomeFrame,
     PeerMessage,
 )
-from lovagetray._types import InstanceId, SubReply
+from lovagetray._types import ExecuteReply, InstanceId, SubReply
 
 _decoders = {kind.__name__: Decoder(kind) for kind in get_args(PeerMessage)}
 _sender_decoder = Decoder(InstanceId)
@@ -47,20 +48,45 @@
         case Result(tag="ok", ok=reply):
             return OutcomeFrame(request_id, reply, None)
         case Result(error=failure):
-            fields = to_builtins(failure)
-            return OutcomeFrame(request_id, None, FailureFrame(failure.code, fields))
+            return OutcomeFrame(request_id, None, _failure_frame(failure))
 
 
 def decode_outcome(frame: OutcomeFrame) -> Result[SubReply, Failure]:
     """Return the outcome in a frame."""
     if frame.reply is not None:
         return Ok(frame.reply)
-    if frame.failure is None:
-        return Error(TargetFailed("", 0))
-    kind = _failures.get(frame.failure.code)
-    if kind is None:
-        return Error(TargetFailed("", 0))
+    return Error(_failure(frame.failure))
+
+
+def encode_execution(
+    request_id: str, result: Result[ExecuteReply, Failure]
+) -> ExecutionFrame:
+    """Return the frame of the outcome of one execution."""
+    match result:
+        case Result(tag="ok", ok=reply):
+            return ExecutionFrame(request_id, reply, None)
+        case Result(error=failure):
+            return ExecutionFrame(request_id, None, _failure_frame(failure))
+
+
+def decode_execution(frame: ExecutionFrame) -> Result[ExecuteReply, Failure]:
+    """Return the outcome of an execution in a frame."""
+    if frame.reply is not None:
+        return Ok(frame.reply)
+    return Error(_failure(frame.failure))
+
+
+def _failure_frame(failure: Failure) -> FailureFrame:
+    return FailureFrame(failure.code, to_builtins(failure))
+
+
+def _failure(frame: FailureFrame | None) -> Failure:
+    """Return the failure in a frame; an unreadable one proves nothing."""
+    kind = None if frame is None else _failures.get(frame.code)
+    if frame is None or kind is None:
+        return TargetFailed("", 0)
     try:
-        return Error(convert(frame.failure.fields, kind))
+        failure: Failure = convert(frame.fields, kind)
     except ValidationError:
-        return Error(TargetFailed("", 0))
+        return TargetFailed("", 0)
+    return failure
--- a/src/lovagetray/wire/_peers.py
+++ b/src/lovagetray/wire/_peers.py
@@ -26,6 +26,7 @@
 
 from lovagetray._clock import Clock
 from lovagetray._peer_messages import (
+    CancelSubRequests,
     Envelope,
     PeerMessage,
     RunSubRequests,
@@ -187,22 +188,34 @@
 
 
 def join_messages(messages: list[PeerMessage]) -> list[PeerMessage]:
-    """Return `messages` with sub-requests and outcomes joined into one each."""
+    """Return `messages` with sub-requests, outcomes and cancels joined into one each.
+
+    A cancel follows the sub-requests, so that it finds them at the owner.
+    """
     joined: list[PeerMessage] = []
     requests: list[RunSubRequests] = []
     outcomes: list[SubRequestOutcomes] = []
+    cancels: list[CancelSubRequests] = []
     for message in messages:
         match message:
             case RunSubRequests():
                 requests.append(message)
             case SubRequestOutcomes():
                 outcomes.append(message)
+            case CancelSubRequests():
+                cancels.append(message)
             case _:
                 joined.append(message)
     if requests:
         joined.append(
             RunSubRequests(tuple(one for part in requests for one in part.requests))
         )
+    if cancels:
+        joined.append(
+            CancelSubRequests(
+                tuple(one for part in cancels for one in part.request_ids)
+            )
+        )
     if outcomes:
         joined.append(
             SubRequestOutcomes(tuple(one for part in outcomes for one in part.outcomes))
--- a/src/lovagetray/wire/_target_json.py
+++ b/src/lovagetray/wire/_target_json.py
@@ -5,7 +5,7 @@
 from typing import TypedDict
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, ValidationError
+from msgspec import DecodeError, Raw, ValidationError
 from msgspec.json import Decoder, encode
 
 from lovagetray._errors import (
@@ -20,6 +20,8 @@
 from lovagetray._types import (
     Address,
     Announcement,
+    ExecuteReply,
+    ExecuteRequest,
     Holding,
     Load,
     Record,
@@ -208,6 +210,30 @@
     )
 
 
+def encode_execute_request(request: ExecuteRequest) -> bytes:
+    """Return the body of a non-idempotent request."""
+    return encode({"key": request.key, "body": Raw(request.body)})
+
+
+def execute_headers(request: ExecuteRequest, budget: timedelta) -> dict[str, str]:
+    """Return the headers that identify a non-idempotent request to a target."""
+    return {
+        "x-request-id": request.request_id,
+        "x-deadline-ms": str(max(0, int(budget.total_seconds() * 1000))),
+    }
+
+
+def decode_execute_reply(
+    request: ExecuteRequest, response: HttpResponse
+) -> Result[ExecuteReply, Failure]:
+    """Return a target's reply to an execution, or what its refusal means."""
+    if response.headers.get("x-request-id") != request.request_id:
+        return Error(WrongReply(request.target, "request id"))
+    if response.status != 200:
+        return Error(_refusal(request.target, response))
+    return Ok(ExecuteReply(request.request_id, response.body))
+
+
 def _mismatch(request: SubRequest, response: HttpResponse) -> WrongReply | None:
     if response.headers.get("x-request-id") != request.request_id:
         return WrongReply(request.target, "request id")
