--- /dev/null
+++ b/features/fakes/instances.py
@@ -0,0 +1,291 @@
+"""Instances in virtual time: network, list of live instances, and their parts."""
+
+from collections.abc import Awaitable
+from datetime import datetime, timedelta
+from typing import Any
+
+from curio import Event, Queue, TaskGroup, sleep
+from expression import Result
+from fakes.replica import FakeDialer, FakeReplica
+
+from lovagetray import Address, SystemClock
+from lovagetray._peer_messages import (
+    AgedAnnouncement,
+    Announced,
+    AnnouncementDigest,
+    CancelSubRequests,
+    ClaimReplicas,
+    Envelope,
+    ExecutionOutcomes,
+    Heartbeat,
+    PeerMessage,
+    ReleasedReplicas,
+    RunExecutions,
+    RunSubRequests,
+    Stopped,
+    SubRequestOutcomes,
+)
+from lovagetray._types import Announcement, InstanceId
+from lovagetray._violations import Violations
+from lovagetray.commands.membership import (
+    OwnershipTransfer,
+    accept_announcement,
+    accept_relayed,
+    digest,
+    newer_than,
+)
+from lovagetray.state import Directory, InstanceRecord, InstanceState, Members
+from lovagetray.targets import OwnerRouter, PoolTools, ReplicaPools
+from lovagetray.wire import decode_envelope, encode_envelope
+
+LEADER = "leader"
+_LEASE = timedelta(seconds=2)
+_SUSPICION = timedelta(milliseconds=1500)
+_LATENCY = 0.001
+
+
+class GatedClock:
+    """A clock whose timers wait while their instance is frozen."""
+
+    def __init__(self, instance: "FakeInstance") -> None:
+        self._clock = SystemClock()
+        self._instance = instance
+
+    def now(self) -> datetime:
+        return self._clock.now()
+
+    def elapsed(self) -> timedelta:
+        return self._clock.elapsed()
+
+    async def sleep(self, duration: timedelta) -> None:
+        await self._clock.sleep(duration)
+        await self._instance.running()
+
+    async def within(self, limit: timedelta, work: Awaitable[Any]) -> Result[Any, Any]:
+        done = await self._clock.within(limit, work)
+        await self._instance.running()
+        return done
+
+
+class ListLease:
+    """A lease from lists that the fake leader sent, counted from when it sent them."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._clock = SystemClock()
+        self._names: frozenset[str] | None = None
+        self._ends = timedelta(0)
+
+    def take(self, names: frozenset[str], sent_at: timedelta) -> None:
+        self._names = names
+        if self._name in names:
+            self._ends = sent_at + _LEASE
+
+    def live(self) -> frozenset[str] | None:
+        return self._names
+
+    def lease_valid(self) -> bool:
+        listed = self._names is not None and self._name in self._names
+        return listed and self._clock.elapsed() <= self._ends
+
+
+class FakeNetwork:
+    """Carries messages between instances; directed links can be cut."""
+
+    def __init__(self) -> None:
+        self.instances: dict[str, FakeInstance] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self._clock = SystemClock()
+        self._heard: dict[str, timedelta] = {}
+
+    async def deliver(self, sender: str, receiver: str, item: Any) -> bool:
+        instance = self.instances.get(receiver)
+        if instance is not None and (sender, receiver) not in self.cuts:
+            await instance.arriving.put((self._clock.elapsed(), item))
+        return receiver in self.instances
+
+    async def lead(self) -> None:
+        """Send the list of live instances to each of them, four times a second."""
+        while True:
+            now = self._clock.elapsed()
+            for name, instance in self.instances.items():
+                reachable = (name, LEADER) not in self.cuts
+                if instance.alive and not instance.frozen and reachable:
+                    self._heard[name] = now
+            live = frozenset(
+                name for name, at in self._heard.items() if now - at <= _SUSPICION
+            )
+            for name in list(self.instances):
+                await self.deliver(LEADER, name, live)
+            await sleep(0.25)
+
+
+class FakeInstance:
+    """One run of an instance: real pools, ownership and routing over fakes."""
+
+    def __init__(
+        self,
+        name: str,
+        run: int,
+        names: list[str],
+        network: FakeNetwork,
+        replicas: dict[str, FakeReplica],
+    ) -> None:
+        self.name = name
+        self.network = network
+        self.alive = True
+        self.frozen = False
+        self.arriving: Queue = Queue()
+        self.violations = Violations()
+        self._thawed = Event()
+        self._thawed_at = timedelta(0)
+        self._end = Event()
+        self._names = names
+        self.clock = GatedClock(self)
+        address = Address("127.0.0.1", 1)
+        self.members = Members(
+            InstanceRecord(
+                InstanceId(name, str(run)),
+                InstanceState.SERVING,
+                "athens-1",
+                address,
+                address,
+            ),
+            _SUSPICION,
+        )
+        self.directory = Directory(timedelta(seconds=3))
+        self.lease = ListLease(name)
+        self.ownership = OwnershipTransfer(
+            self.directory,
+            self.members,
+            self.lease,
+            self,
+            lambda: [other for other in names if other != name],
+            self.clock,
+            timedelta(seconds=30),
+        )
+        self._dialer = FakeDialer(replicas, self.running, self._had_time_to_learn)
+
+    async def running(self) -> None:
+        """Wait while the instance is frozen."""
+        while self.frozen:
+            await self._thawed.wait()
+
+    def freeze(self) -> None:
+        self.frozen = True
+        self._thawed.clear()
+
+    async def thaw(self) -> None:
+        self.frozen = False
+        self._thawed_at = self.clock.elapsed()
+        await self._thawed.set()
+
+    async def crash(self) -> None:
+        self.alive = False
+        await self.thaw()
+        await self._end.set()
+
+    async def stop(self) -> None:
+        """Leave in order, as a process does on SIGTERM."""
+        self.members.change_own_state(InstanceState.LEAVING)
+        await self._to_all(Heartbeat(self.members.myself))
+        await self.clock.sleep(timedelta(seconds=1))
+        for _ in range(50):
+            await self.ownership.release_all(self.pools)
+            if not self.ownership.held():
+                await self._to_all(Stopped())
+                break
+            await self.clock.sleep(timedelta(milliseconds=100))
+        await self.crash()
+
+    async def run(self) -> None:
+        """Serve until the instance crashes or stops."""
+        async with TaskGroup(wait=None) as group:
+            tools = PoolTools(self._dialer, self.clock, self.violations)
+            self.pools = ReplicaPools(
+                self.directory, self.ownership.allowance, tools, group
+            )
+            self.router = OwnerRouter(
+                self.directory,
+                self.members,
+                self.ownership,
+                self.pools,
+                self,
+                self.clock,
+            )
+            await group.spawn(self._receive)
+            await group.spawn(self._keep_house)
+            await group.spawn(self._keep_ownership)
+            await self._end.wait()
+
+    async def send(self, name: str, message: PeerMessage) -> bool:
+        """Send to a peer; also the `PeerSender` of this instance."""
+        if not self.alive:
+            return False
+        frames = encode_envelope(Envelope(self.members.myself.instance, message))
+        return await self.network.deliver(self.name, name, frames)
+
+    async def announce(self, announcement: Announcement) -> None:
+        """Take an announcement from a target, unless frozen, and relay it."""
+        if self.alive and not self.frozen:
+            accept_announcement(self.directory, announcement, self.clock)
+            item = AgedAnnouncement(announcement, timedelta(0))
+            await self._to_all(Announced((item,)))
+
+    def _had_time_to_learn(self) -> bool:
+        return self.clock.elapsed() - self._thawed_at > timedelta(seconds=3)
+
+    async def _to_all(self, message: PeerMessage) -> None:
+        for name in self._names:
+            if name != self.name:
+                await self.send(name, message)
+
+    async def _keep_house(self) -> None:
+        while True:
+            self.directory.note_round(self.clock.elapsed())
+            await self._to_all(Heartbeat(self.members.myself))
+            await self._to_all(digest(self.directory))
+            await self.clock.sleep(timedelta(milliseconds=500))
+
+    async def _keep_ownership(self) -> None:
+        while True:
+            await self.router.keep()
+            await self.clock.sleep(timedelta(milliseconds=100))
+
+    async def _receive(self) -> None:
+        while True:
+            sent_at, item = await self.arriving.get()
+            late = self.clock.elapsed() - sent_at
+            await sleep(max(0.0, _LATENCY - late.total_seconds()))
+            await self.running()
+            match item:
+                case frozenset():
+                    self.lease.take(item, sent_at)
+                case frames:
+                    await self._handle(decode_envelope(frames).ok)
+
+    async def _handle(self, envelope: Envelope) -> None:
+        now = self.clock.elapsed()
+        sender = envelope.sender
+        self.members.heard(sender, now)
+        match envelope.message:
+            case Heartbeat(record=record):
+                self.members.saw(record, now)
+            case Announced() as announced:
+                accept_relayed(self.directory, announced, self.clock)
+            case AnnouncementDigest() as held:
+                newer = newer_than(self.directory, held, self.clock)
+                if newer.items:
+                    await self.send(sender.name, newer)
+            case RunSubRequests() | RunExecutions() as batch:
+                await self.router.run_for_peer(sender, batch)
+            case SubRequestOutcomes() | ExecutionOutcomes() as outcomes:
+                await self.router.accept_outcomes(outcomes)
+            case CancelSubRequests() as cancelled:
+                await self.router.cancel_for_peer(cancelled)
+            case ClaimReplicas() as claims:
+                await self.ownership.claimed(sender, claims, self.pools)
+            case ReleasedReplicas() as released:
+                self.ownership.released(sender, released)
+            case Stopped():
+                self.ownership.stopped(sender)
--- /dev/null
+++ b/features/fakes/replica.py
@@ -0,0 +1,212 @@
+"""A replica in virtual time that counts what its owners use of it."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+from curio import Event, sleep
+from expression import Error, Ok, Result
+
+from lovagetray import Address, SystemClock
+from lovagetray._errors import (
+    ConnectFailed,
+    ConnectionLost,
+    NoReply,
+    RefusedByTarget,
+    WrongReply,
+)
+from lovagetray._types import (
+    Announcement,
+    ExecuteReply,
+    Holding,
+    Load,
+    Snapshot,
+    SubReply,
+    TargetState,
+)
+from lovagetray.targets import Execute, Search, Silent, Work
+
+SNAPSHOT = Snapshot(1, "mod", 1)
+_LEAVING_GRACE = timedelta(seconds=3)
+
+
+def make_announcement(name: str, slots: int, connections: int) -> Announcement:
+    """Return the announcement of a ready replica that started long ago."""
+    return Announcement(
+        service="venture/portal",
+        target=name,
+        incarnation=1,
+        sequence=100,
+        data_centre="athens-1",
+        address=Address("127.0.0.1", 1),
+        state=TargetState.READY,
+        holdings=(Holding(SNAPSHOT, 0),),
+        slots=slots,
+        connections=connections,
+        connect_cost=timedelta(milliseconds=6),
+        load=Load(0, 0),
+    )
+
+
+async def always_running() -> None:
+    """Hold nothing back; stands for an instance that is never frozen."""
+
+
+class FakeReplica:
+    """Serves work in virtual time and records every broken limit."""
+
+    def __init__(self, announcement: Announcement, random: Random) -> None:
+        self.announcement = announcement
+        self.random = random
+        self.clock = SystemClock()
+        self.in_flight = 0
+        self.connections = 0
+        self.opened = 0
+        self.served = 0
+        self.executed: list[str] = []
+        self.problems: list[str] = []
+        self.frozen = False
+        self.shedding = False
+        self.crossing = False
+        self.gone = False
+        self.leaving_at: timedelta | None = None
+        self.mean_work = 0.01
+
+    def connect(self) -> None:
+        self.connections += 1
+        self.opened += 1
+        self._check("connections", self.connections, self.announcement.connections)
+
+    async def serve(self, work: Work, knows: bool) -> Result[Any, Any]:
+        """Serve one request; `knows` tells whether its sender had time to learn."""
+        await sleep(0.0005)
+        target = self.announcement.target
+        while self.frozen:
+            await sleep(0.02)
+        if self.gone:
+            return Error(Silent(ConnectionLost(target)))
+        now = self.clock.elapsed()
+        if self.leaving_at is not None and now - self.leaving_at > _LEAVING_GRACE:
+            if knows:
+                self.problems.append(f"work for {target} 3 s after its notice")
+            return Error(RefusedByTarget(target, "draining"))
+        if self.shedding:
+            return Error(RefusedByTarget(target, "shed"))
+        self.in_flight += 1
+        self._check("slots", self.in_flight, self.announcement.slots)
+        try:
+            return await self._work(work)
+        finally:
+            self.in_flight -= 1
+
+    async def _work(self, work: Work) -> Result[Any, Any]:
+        match work:
+            case Execute(request=request):
+                if request.key in self.executed:
+                    self.problems.append(f"{request.key} executed twice")
+                self.executed.append(request.key)
+        await sleep(self.random.expovariate(1 / self.mean_work))
+        target = self.announcement.target
+        if self.gone:
+            return Error(ConnectionLost(target))
+        self.served += 1
+        if self.crossing:
+            return Error(WrongReply(target, "request id"))
+        match work:
+            case Search(request=request):
+                return Ok(SubReply(request.request_id, 0, SNAPSHOT, (), timedelta(0)))
+            case Execute(request=request):
+                return Ok(ExecuteReply(request.request_id, b"{}"))
+
+    def _check(self, name: str, used: int, limit: int) -> None:
+        if used > limit:
+            target = self.announcement.target
+            self.problems.append(f"{used} {name} of {target} in use, limit {limit}")
+
+
+class FakeConnection:
+    """A connection to a fake replica; it can go silent for good."""
+
+    def __init__(
+        self,
+        replica: FakeReplica,
+        running: Callable[[], Awaitable[None]],
+        knows: Callable[[], bool],
+    ) -> None:
+        self.replica = replica
+        self.exchanges = 0
+        self.used_at = replica.clock.elapsed()
+        self.reusable = True
+        self.silent = False
+        self._open = True
+        self._running = running
+        self._knows = knows
+
+    @property
+    def readable(self) -> bool:
+        return self.replica.gone
+
+    async def exchange(
+        self, work: Work, limit: timedelta, first_byte: timedelta | None
+    ) -> Result[Any, Any]:
+        self.reusable = False
+        wait = limit if first_byte is None else min(limit, first_byte)
+        served = await self.replica.clock.within(wait, self._serve(work))
+        await self._running()
+        match served:
+            case Result(tag="ok", ok=result):
+                self.exchanges += 1
+                self.used_at = self.replica.clock.elapsed()
+                match result:
+                    case Result(tag="ok") | Result(error=RefusedByTarget()):
+                        self.reusable = True
+                return result
+            case _:
+                return Error(Silent(NoReply(self.replica.announcement.target)))
+
+    async def close(self) -> None:
+        if self._open:
+            self._open = False
+            self.replica.connections -= 1
+
+    async def _serve(self, work: Work) -> Result[Any, Any]:
+        if self.silent:
+            await Event().wait()
+        return await self.replica.serve(work, self._knows())
+
+
+class FakeDialer:
+    """Connects to fake replicas by name."""
+
+    def __init__(
+        self,
+        replicas: dict[str, FakeReplica],
+        running: Callable[[], Awaitable[None]] = always_running,
+        knows: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self.replicas = replicas
+        self.connections: list[FakeConnection] = []
+        self._running = running
+        self._knows = knows
+
+    async def open(
+        self, announcement: Announcement, limit: timedelta
+    ) -> Result[FakeConnection, ConnectFailed]:
+        replica = self.replicas[announcement.target]
+        if replica.announcement.incarnation != announcement.incarnation:
+            return Error(ConnectFailed(announcement.target))
+        replica.connect()
+        connection = FakeConnection(replica, self._running, self._knows)
+        cost = announcement.connect_cost
+        try:
+            await sleep(min(cost, limit).total_seconds())
+            await self._running()
+        except BaseException:
+            await connection.close()
+            raise
+        if limit < cost:
+            await connection.close()
+            return Error(ConnectFailed(announcement.target))
+        self.connections.append(connection)
+        return Ok(connection)
--- a/src/lovagetray/_peer_messages.py
+++ b/src/lovagetray/_peer_messages.py
@@ -133,6 +133,11 @@
     claims: tuple[ReplicaClaim, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Stopped:
+    """Tells that the sender has released all replicas and ends now."""
+
+
 PeerMessage = (
     Heartbeat
     | Announced
@@ -144,6 +149,7 @@
     | ExecutionOutcomes
     | ClaimReplicas
     | ReleasedReplicas
+    | Stopped
 )
 
 
--- a/src/lovagetray/commands/membership/_transfer.py
+++ b/src/lovagetray/commands/membership/_transfer.py
@@ -23,7 +23,13 @@
     orphan_allowance,
 )
 from lovagetray.queries.membership import owner_of, ownership_ranking
-from lovagetray.state import Directory, InstanceRecord, LeaseView, Members
+from lovagetray.state import (
+    Directory,
+    InstanceRecord,
+    InstanceState,
+    LeaseView,
+    Members,
+)
 
 _log = get_logger()
 _RESEND = timedelta(milliseconds=500)
@@ -84,6 +90,7 @@
         self._claims: dict[ReplicaKey, Claim] = {}
         self._owed: dict[ReplicaKey, dict[InstanceId, ReplicaClaim]] = {}
         self._last_live: dict[str, timedelta] = {}
+        self._stopped: set[InstanceId] = set()
         self._started_at = clock.elapsed()
         self._lease_at: timedelta | None = None
         self._lease_since: timedelta | None = None
@@ -163,6 +170,12 @@
             await self._release(key, use)
         await self._answer(use)
 
+    def stopped(self, sender: InstanceId) -> None:
+        """Record that a run of an instance ended after it had released everything."""
+        self._stopped.add(sender)
+        for claim in self._claims.values():
+            claim.released_by(sender.name)
+
     def held(self) -> int:
         """Return how many replicas this instance claims or holds."""
         return len(self._claims)
@@ -180,9 +193,9 @@
         if self._lease_since is None or unseen:
             self._lease_since = now
             for key, claim in list(self._claims.items()):
-                if not claim.releasing:
-                    kept = claim.complete or claim.kept
-                    self._claims[key] = self._new_claim(key, kept)
+                kept = claim.complete or claim.kept
+                self._claims[key] = self._new_claim(key, kept)
+                self._claims[key].releasing = claim.releasing
         self._lease_at = now
         return True
 
@@ -220,7 +233,9 @@
         """Take in instances that left the list, restarted or were gone too long."""
         for name in claim.awaiting - live:
             claim.awaiting.discard(name)
-            claim.former[name] = self._former(name)
+            record = self._members.record(name)
+            if record is None or record.instance not in self._stopped:
+                claim.former[name] = self._former(name)
         for name, former in list(claim.former.items()):
             record = self._members.record(name)
             known = former.instance is not None and record is not None
@@ -249,6 +264,8 @@
         """
         last_live = self._last_live.get(name)
         record = self._members.record(name)
+        if record is not None and record.instance in self._stopped:
+            return False
         if last_live is None or record is None or self._lease_since is None:
             return True
         ranking = ownership_ranking(announcement, [self._members.myself, record])
@@ -311,5 +328,8 @@
             await self._peers.send(claimer.name, message)
 
     def _records(self, live: Iterable[str]) -> list[InstanceRecord]:
-        records = (self._members.record(name) for name in live)
-        return [record for record in records if record is not None]
+        """Return the live instances that may own replicas: those that are staying."""
+        found = [self._members.record(name) for name in live]
+        records = [record for record in found if record is not None]
+        staying = [one for one in records if one.state is not InstanceState.LEAVING]
+        return staying or records
--- a/src/lovagetray/entry/_instance.py
+++ b/src/lovagetray/entry/_instance.py
@@ -18,6 +18,7 @@
     ReleasedReplicas,
     RunExecutions,
     RunSubRequests,
+    Stopped,
     SubRequestOutcomes,
 )
 from lovagetray._process_settings import ProcessSettings
@@ -109,6 +110,9 @@
         while self._ownership.held() and self._clock.elapsed() < end:
             await self._clock.sleep(_STOP_POLL)
             await self._ownership.release_all(self._pools)
+        if not self._ownership.held():
+            await self._peers.broadcast(Stopped())
+            await self._clock.sleep(_STOP_POLL)
 
     def _assemble_targets(self, group: TaskGroup) -> None:
         self._ownership = OwnershipTransfer(
@@ -176,6 +180,8 @@
                 await self._ownership.claimed(envelope.sender, claims, self._pools)
             case ReleasedReplicas() as released:
                 self._ownership.released(envelope.sender, released)
+            case Stopped():
+                self._ownership.stopped(envelope.sender)
 
     async def _keep_house(self) -> None:
         """Compare announcements with peers and expire old state, each second."""
--- a/src/lovagetray/state/_lease.py
+++ b/src/lovagetray/state/_lease.py
@@ -31,9 +31,8 @@
         self._clock = clock
 
     def live(self) -> frozenset[str] | None:
-        """Return the serving instances, or all live ones if none serves."""
-        now = self._clock.elapsed()
-        found = self._members.serving(now) or self._members.live(now)
+        """Return this instance and those heard lately."""
+        found = self._members.live(self._clock.elapsed())
         return frozenset(record.instance.name for record in found)
 
     def lease_valid(self) -> bool:
