--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 from pathlib import Path
-from signal import SIGKILL, SIGTERM
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
 from socket import socket
 from subprocess import DEVNULL, Popen, TimeoutExpired
 from sys import executable
@@ -183,6 +183,26 @@
         with urlopen(Request(url, encode(document)), timeout=5) as response:
             return decode(response.read())
 
+    def metric(self, entry: EntryProcess, name: str) -> float:
+        """Return the sum of a metric of an instance over its labels."""
+        url = f"http://127.0.0.1:{entry.http_port}/metrics"
+        with urlopen(url, timeout=5) as response:
+            lines = response.read().decode().splitlines()
+        found = [line for line in lines if line.split("{")[0].split(" ")[0] == name]
+        return sum(float(line.rsplit(" ", 1)[1]) for line in found)
+
+    def control(self, target: TargetProcess, **change: Any) -> Any:
+        """Change delay, fault, versions or state of a target."""
+        return self.post(target.port, "/control", change)
+
+    def pause(self, process: "EntryProcess | TargetProcess") -> None:
+        """Stop a process without ending it."""
+        process.process.send_signal(SIGSTOP)
+
+    def resume(self, process: "EntryProcess | TargetProcess") -> None:
+        """Let a paused process go on."""
+        process.process.send_signal(SIGCONT)
+
     def wait_until(self, condition: Any, limit: float = 30.0) -> None:
         """Wait until a condition holds; instances may not answer yet."""
         end = monotonic() + limit
--- a/tools/target.py
+++ b/tools/target.py
@@ -8,7 +8,7 @@
 from time import time_ns
 from typing import Any, NamedTuple
 
-from curio import Event, TaskGroup, run, sleep
+from curio import Event, TaskGroup, current_task, run, sleep
 from expression import Result
 from msgspec.json import decode, encode
 
@@ -24,6 +24,7 @@
 )
 
 _ANNOUNCE_EVERY = 1.0
+_FAULTS = ("", "silent", "silent_reused", "shed", "crossed", "mixed")
 _WORDS = "wedding portrait press family studio print album travel retouch express"
 _TOWNS = "Helsinki Turku Tampere Oulu Kuopio Vaasa Pori Lahti Kotka Joensuu"
 
@@ -75,6 +76,7 @@
         self._delay = arguments.delay
         self._fault = arguments.fault
         self._executed: list[str] = []
+        self._exchanges: dict[int, int] = {}
         self._entries: list[Address] = list(arguments.entry)
         self._clock = SystemClock()
 
@@ -94,6 +96,12 @@
             await sleep(self._arguments.drain)
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
+        # The server has one task for each connection.
+        connection = (await current_task()).id
+        used = self._exchanges.get(connection, 0)
+        self._exchanges[connection] = used + 1
+        if self._fault == "silent_reused" and used and request.path != "/control":
+            await Event().wait()
         match request.method, request.path:
             case "POST", "/search":
                 return await self._search(request)
@@ -262,9 +270,7 @@
     parser.add_argument("--connect-cost", type=float, default=6, help="milliseconds")
     parser.add_argument("--delay", type=float, default=5, help="mean work, ms")
     parser.add_argument("--drain", type=float, default=4, help="seconds")
-    parser.add_argument(
-        "--fault", default="", choices=["", "silent", "shed", "crossed", "mixed"]
-    )
+    parser.add_argument("--fault", default="", choices=_FAULTS)
     arguments = parser.parse_args()
     arguments.version = arguments.version or [1]
     run(Target(arguments).run)
