--- a/features/fakes/instances.py
+++ b/features/fakes/instances.py
@@ -188,7 +188,7 @@
                 lambda: [other for other in self._names if other != self.name],
                 PoolTools(self._dialer, self.clock, self.violations),
                 group,
-                timedelta(seconds=30),
+                lambda: timedelta(seconds=30),
                 self._transfer,
             )
             await group.spawn(self._receive)
--- a/features/steps/target_process_steps.py
+++ b/features/steps/target_process_steps.py
@@ -135,3 +135,23 @@
     assert all(context.results), context.results
     assert _total(context, "lovagetray_sheds_total") >= 1
     _check_invariants(context)
+
+
+@when("an instance that owns replicas is stopped in order during searches")
+def stop_owner(context: Context) -> None:
+    fleet = context.fleet
+    assert _complete(context)
+    moved = "lovagetray_ownership_moves_total"
+    context.stopped = [one for one in fleet.entries if fleet.metric(one, moved)][-1]
+    other = [entry is context.stopped for entry in fleet.entries].index(False)
+    fleet.stop_gracefully(context.stopped)
+    context.results = [_complete(context, other) for _ in range(50)]
+    fleet.stop_gracefully(context.stopped)
+    while context.stopped.process.poll() is None:
+        context.results.append(_complete(context, other))
+
+
+@then("no search was incomplete and the instance ended without failure")
+def check_stopped(context: Context) -> None:
+    assert all(context.results), context.results
+    assert context.stopped.process.returncode == 0
--- a/features/target_processes.feature
+++ b/features/target_processes.feature
@@ -35,3 +35,9 @@
     Given 2 entry instances and a service of 1 shards with 2 replicas
     When replica 0 of each shard sheds load during searches
     Then no search was incomplete and a shed reply was counted
+
+  Scenario: An owner stops in order
+    # Guards against work that fails because its owner hands over replicas.
+    Given 3 entry instances and a service of 4 shards with 2 replicas
+    When an instance that owns replicas is stopped in order during searches
+    Then no search was incomplete and the instance ended without failure
--- a/src/lovagetray/commands/membership/_transfer.py
+++ b/src/lovagetray/commands/membership/_transfer.py
@@ -66,7 +66,7 @@
     peer_names
         Returns the names of all other instances, known from settings or heard of.
     orphan_limit
-        How long an owner without a lease goes on with one connection.
+        Returns how long an owner without a lease goes on with one connection.
     """
 
     def __init__(
@@ -77,7 +77,7 @@
         peers: PeerSender,
         peer_names: Callable[[], Iterable[str]],
         clock: Clock,
-        orphan_limit: timedelta,
+        orphan_limit: Callable[[], timedelta],
     ) -> None:
         self._directory = directory
         self._members = members
@@ -90,7 +90,10 @@
         self._claims: dict[ReplicaKey, Claim] = {}
         self._owed: dict[ReplicaKey, dict[InstanceId, ReplicaClaim]] = {}
         self._last_live: dict[str, timedelta] = {}
-        self._stopped: set[InstanceId] = set()
+        self._stopped: dict[str, InstanceId] = {}
+        # Owners by replica for the records they were ranked from.
+        self._ranked: list[InstanceRecord] = []
+        self._owners: dict[tuple[str, str, str], str | None] = {}
         self._started_at = clock.elapsed()
         self._lease_at: timedelta | None = None
         self._lease_since: timedelta | None = None
@@ -100,8 +103,17 @@
         live = self._lease.live()
         if live is None:
             return None
-        owner = owner_of(announcement, self._records(live))
-        return None if owner is None else owner.instance.name
+        records = self._records(live)
+        if records != self._ranked:
+            self._ranked = records
+            self._owners.clear()
+        key = (announcement.service, announcement.target, announcement.data_centre)
+        name = self._owners.get(key)
+        if name is None:
+            owner = owner_of(announcement, records)
+            name = None if owner is None else owner.instance.name
+            self._owners[key] = name
+        return name
 
     def allowance(self, announcement: Announcement) -> Allowance:
         """Return what this instance may use of a replica now."""
@@ -112,7 +124,7 @@
         if self._holds_lease(now):
             return claim.allowance(announcement, now)
         used = claim.complete or claim.kept
-        expired = self._lease_at is None or now - self._lease_at > self._orphan_limit
+        expired = self._lease_at is None or now - self._lease_at > self._orphan_limit()
         if not used or expired:
             return _GIVEN_UP
         return orphan_allowance(announcement)
@@ -172,7 +184,7 @@
 
     def stopped(self, sender: InstanceId) -> None:
         """Record that a run of an instance ended after it had released everything."""
-        self._stopped.add(sender)
+        self._stopped[sender.name] = sender
         for claim in self._claims.values():
             claim.released_by(sender.name)
 
@@ -202,13 +214,11 @@
     async def _follow_list(
         self, live: frozenset[str], use: ReplicaUse, now: timedelta
     ) -> None:
-        records = self._records(live)
-        owned = set()
-        for listing in self._directory.listings():
-            announcement = listing.announcement
-            owner = owner_of(announcement, records)
-            if owner is not None and owner.instance.name == self._own_name:
-                owned.add(ReplicaKey(announcement.service, announcement.target))
+        owned = {
+            ReplicaKey(listing.announcement.service, listing.announcement.target)
+            for listing in self._directory.listings()
+            if self.owner(listing.announcement) == self._own_name
+        }
         for key in owned - self._claims.keys() - self._owed.keys():
             self._claims[key] = self._new_claim(key, kept=False)
         for key, claim in list(self._claims.items()):
@@ -234,7 +244,7 @@
         for name in claim.awaiting - live:
             claim.awaiting.discard(name)
             record = self._members.record(name)
-            if record is None or record.instance not in self._stopped:
+            if record is None or record.instance != self._stopped.get(name):
                 claim.former[name] = self._former(name)
         for name, former in list(claim.former.items()):
             record = self._members.record(name)
@@ -264,7 +274,7 @@
         """
         last_live = self._last_live.get(name)
         record = self._members.record(name)
-        if record is not None and record.instance in self._stopped:
+        if record is not None and record.instance == self._stopped.get(name):
             return False
         if last_live is None or record is None or self._lease_since is None:
             return True
@@ -275,7 +285,7 @@
         record = self._members.record(name)
         lease_ends = self._last_live.get(name, self._started_at) + LEASE_ENDED
         instance = None if record is None else record.instance
-        return FormerOwner(instance, lease_ends, lease_ends + self._orphan_limit)
+        return FormerOwner(instance, lease_ends, lease_ends + self._orphan_limit())
 
     def _goes_before(self, sender: InstanceId, key: ReplicaKey) -> bool:
         """Tell whether this instance owns a replica and ranks above a claimer."""
@@ -329,7 +339,7 @@
 
     def _records(self, live: Iterable[str]) -> list[InstanceRecord]:
         """Return the live instances that may own replicas: those that are staying."""
-        found = [self._members.record(name) for name in live]
+        found = [self._members.record(name) for name in sorted(live)]
         records = [record for record in found if record is not None]
         staying = [one for one in records if one.state is not InstanceState.LEAVING]
         return staying or records
--- a/src/lovagetray/targets/__init__.py
+++ b/src/lovagetray/targets/__init__.py
@@ -8,6 +8,7 @@
     ExtraAttempts,
     PooledConnection,
     PoolTools,
+    TargetLimits,
     UnlimitedAttempts,
 )
 from lovagetray.targets._pools import ReplicaPools
--- a/src/lovagetray/targets/_access.py
+++ b/src/lovagetray/targets/_access.py
@@ -45,7 +45,7 @@
     group
         Where the tasks of the connections to replicas run.
     orphan_limit
-        How long an owner without a lease goes on with one connection.
+        Returns how long an owner without a lease goes on with one connection.
     transfer
         The type that moves ownership.
     """
@@ -59,7 +59,7 @@
         peer_names: Callable[[], Iterable[str]],
         tools: PoolTools,
         group: TaskGroup,
-        orphan_limit: timedelta = timedelta(minutes=10),
+        orphan_limit: Callable[[], timedelta] = lambda: timedelta(minutes=10),
         transfer: type[OwnershipTransfer] = OwnershipTransfer,
     ) -> None:
         self._directory = directory
--- a/src/lovagetray/targets/_pool.py
+++ b/src/lovagetray/targets/_pool.py
@@ -64,7 +64,7 @@
         self._connections: list[PooledConnection] = []
         service, target = listing.announcement.service, listing.announcement.target
         self._usage = Usage(service, target, tools.violations)
-        self._throttle = SlotThrottle(tools.ramp)
+        self._throttle = SlotThrottle()
         self._latency = Latency()
         self._slot_time = Latency()
         self._draining = False
@@ -160,7 +160,8 @@
 
     def _slots(self, allowance: Allowance) -> int:
         now = self._tools.clock.elapsed()
-        return self._throttle.slots(allowance.slots, self._listing.ready_at, now)
+        ramp = self._tools.limits(self.announcement.service).ramp
+        return self._throttle.slots(allowance.slots, self._listing.ready_at, ramp, now)
 
     def _has_free_slot(self, allowance: Allowance) -> bool:
         return self._usage.slots < self._slots(allowance)
--- a/src/lovagetray/targets/_pooled_connection.py
+++ b/src/lovagetray/targets/_pooled_connection.py
@@ -47,8 +47,8 @@
         return True
 
 
-class PoolTools(NamedTuple):
-    """What all pools of an instance share.
+class TargetLimits(NamedTuple):
+    """The settings of a service that concern its targets.
 
     Parameters
     ----------
@@ -58,12 +58,29 @@
         Idle time after which a connection is checked before it is used.
     """
 
+    ramp: timedelta = timedelta(seconds=10)
+    idle_check: timedelta = timedelta(seconds=5)
+
+
+def default_limits(service: str) -> TargetLimits:
+    """Return the defaults of the settings."""
+    return TargetLimits()
+
+
+class PoolTools(NamedTuple):
+    """What all pools of an instance share.
+
+    Parameters
+    ----------
+    limits
+        Returns the settings in force for a service.
+    """
+
     dialer: TargetDialer
     clock: Clock
     violations: Violations
     extra: ExtraAttempts = UnlimitedAttempts()
-    ramp: timedelta = timedelta(seconds=10)
-    idle_check: timedelta = timedelta(seconds=5)
+    limits: Callable[[str], TargetLimits] = default_limits
 
 
 class PooledConnection:
@@ -230,7 +247,8 @@
             case Execute():
                 must_check = True
             case Search():
-                must_check = idle > self._tools.idle_check
+                limits = self._tools.limits(self._announcement.service)
+                must_check = idle > limits.idle_check
         if must_check and self._connection.readable:
             await self.close()
 
--- a/src/lovagetray/targets/_throttle.py
+++ b/src/lovagetray/targets/_throttle.py
@@ -12,27 +12,34 @@
 
 
 class SlotThrottle:
-    """Lowers the slots in use after a cold start and after shed replies.
+    """Lowers the slots in use after a cold start and after shed replies."""
 
-    Parameters
-    ----------
-    ramp
-        Time over which a target that started cold gets all of its slots.
-    """
-
-    def __init__(self, ramp: timedelta) -> None:
-        self._ramp = ramp
+    def __init__(self) -> None:
         self._shed_slots: int | None = None
         self._shed_at = _NO_TIME
         self._halved_at = _NO_TIME
 
-    def slots(self, allowed: int, ready_at: timedelta | None, now: timedelta) -> int:
-        """Return how many of the allowed slots to use now; at least 1 of them."""
+    def slots(
+        self,
+        allowed: int,
+        ready_at: timedelta | None,
+        ramp: timedelta,
+        now: timedelta,
+    ) -> int:
+        """Return how many of the allowed slots to use now; at least 1 of them.
+
+        Parameters
+        ----------
+        ready_at
+            When the target became ready; None if that was long ago.
+        ramp
+            Time over which a target that started cold gets all of its slots.
+        """
         if allowed <= 0:
             return 0
         slots = allowed
-        if ready_at is not None and now - ready_at < self._ramp:
-            slots = int(allowed * ((now - ready_at) / self._ramp))
+        if ready_at is not None and now - ready_at < ramp:
+            slots = int(allowed * ((now - ready_at) / ramp))
         if self._shed_slots is not None:
             grown = self._shed_slots + (now - self._shed_at) // _GROW_EACH
             if grown >= allowed:
