--- a/src/lovagetray/entry/_instance.py
+++ b/src/lovagetray/entry/_instance.py
@@ -7,26 +7,24 @@
 from structlog import get_logger
 
 from lovagetray._clock import Clock
-from lovagetray._peer_messages import (
-    Announced,
-    AnnouncementDigest,
-    CancelSubRequests,
-    Envelope,
-    Heartbeat,
-    RunSubRequests,
-    SubRequestOutcomes,
-)
+from lovagetray._peer_messages import Envelope, Heartbeat, Stopped
 from lovagetray._process_settings import ProcessSettings
 from lovagetray._signals import SignalListener
 from lovagetray._types import InstanceId
 from lovagetray._violations import Violations
-from lovagetray.commands.membership import accept_relayed, digest, newer_than
+from lovagetray.commands.membership import digest
 from lovagetray.entry._command_routes import CommandRoutes
 from lovagetray.entry._query_routes import QueryRoutes
 from lovagetray.entry._router import Router
 from lovagetray.queries.search import Searcher
-from lovagetray.state import Directory, InstanceRecord, InstanceState, Members
-from lovagetray.targets import OwnerRouter
+from lovagetray.state import (
+    Directory,
+    InstanceRecord,
+    InstanceState,
+    MemberLease,
+    Members,
+)
+from lovagetray.targets import HttpDialer, PoolTools, TargetAccess
 from lovagetray.wire import HttpServer, Peers, encode_failure
 
 _log = get_logger()
@@ -35,6 +33,7 @@
 _FORGET_TARGET = timedelta(minutes=1)
 _ADDRESS_LIFETIME = timedelta(seconds=10)
 _STOP_POLL = timedelta(milliseconds=100)
+_RELEASE_LIMIT = timedelta(seconds=5)
 
 
 class EntryInstance:
@@ -59,14 +58,13 @@
         """Serve until SIGTERM or SIGINT; return the exit code."""
         signals = SignalListener((SIGTERM, SIGINT))
         async with TaskGroup(wait=None) as group:
-            self._owners = OwnerRouter(
-                self._directory, self._members, self._peers, self._clock, group
-            )
+            self._targets = self._target_access(group)
             server = HttpServer(self._router().handle, encode_failure, self._clock)
             listener = server.listen(self._settings.http_address)
             await group.spawn(self._peers.run, self._settings.peers, self._receive)
             await group.spawn(server.run, listener)
             await group.spawn(self._keep_house)
+            await group.spawn(self._targets.run)
             self._members.change_own_state(InstanceState.SERVING)
             _log.info("instance_serving", address=str(self._settings.http_address))
             await signals.receive()
@@ -82,11 +80,25 @@
         await server.close_idle()
         while server.open_connections:
             await self._clock.sleep(_STOP_POLL)
+        if await self._targets.release_all(_RELEASE_LIMIT):
+            await self._peers.broadcast(Stopped())
+            await self._clock.sleep(_STOP_POLL)
         _log.info("instance_stopped")
 
+    def _target_access(self, group: TaskGroup) -> TargetAccess:
+        return TargetAccess(
+            self._directory,
+            self._members,
+            MemberLease(self._members, self._clock),
+            self._peers,
+            lambda: self._peers.names,
+            PoolTools(HttpDialer(self._clock), self._clock, self._violations),
+            group,
+        )
+
     def _router(self) -> Router:
         searcher = Searcher(
-            self._directory, self._owners, self._clock, self._violations
+            self._directory, self._targets.router, self._clock, self._violations
         )
         queries = QueryRoutes(searcher, self._directory, self._members, self._clock)
         commands = CommandRoutes(
@@ -111,25 +123,16 @@
             case Heartbeat(record=record):
                 self._members.saw(record, now)
                 await self._peers.add(record.instance.name, record.peer_address)
-            case Announced() as announced:
-                accept_relayed(self._directory, announced, self._clock)
-            case AnnouncementDigest() as held:
-                newer = newer_than(self._directory, held, self._clock)
-                if newer.items:
-                    await self._peers.send(envelope.sender.name, newer)
-            case RunSubRequests() as batch:
-                await self._owners.run_for_peer(envelope.sender, batch)
-            case SubRequestOutcomes() as outcomes:
-                await self._owners.accept_outcomes(outcomes)
-            case CancelSubRequests():
-                pass
+            case _:
+                await self._targets.handle(envelope)
 
     async def _keep_house(self) -> None:
         """Compare announcements with peers and expire old state, each second."""
         while True:
             await self._clock.sleep(_HOUSEKEEPING)
-            self._directory.expire(self._clock.elapsed(), _FORGET_TARGET)
-            await self._owners.fail_silent_peers()
+            now = self._clock.elapsed()
+            self._directory.note_round(now)
+            self._directory.expire(now, _FORGET_TARGET)
             await self._peers.broadcast(Heartbeat(self._members.myself))
             await self._peers.broadcast(digest(self._directory))
 
--- a/src/lovagetray/wire/__init__.py
+++ b/src/lovagetray/wire/__init__.py
@@ -31,9 +31,11 @@
 )
 from lovagetray.wire._peer_codec import (
     decode_envelope,
+    decode_execution,
     decode_failure_frame,
     decode_outcome,
     encode_envelope,
+    encode_execution,
     encode_failure_frame,
     encode_outcome,
 )
@@ -94,8 +96,11 @@
 )
 from lovagetray.wire._target_json import (
     decode_announcement,
+    decode_execute_reply,
     decode_sub_reply,
     encode_accepted,
+    encode_execute_request,
     encode_sub_request,
+    execute_headers,
     sub_request_headers,
 )
--- a/src/lovagetray/wire/_peer_codec.py
+++ b/src/lovagetray/wire/_peer_codec.py
@@ -10,11 +10,12 @@
 from lovagetray._errors import Failure, MalformedRequest, TargetFailed
 from lovagetray._peer_messages import (
     Envelope,
+    ExecutionFrame,
     FailureFrame,
     OutcomeFrame,
     PeerMessage,
 )
-from lovagetray._types import InstanceId, SubReply
+from lovagetray._types import ExecuteReply, InstanceId, SubReply
 
 _decoders = {kind.__name__: Decoder(kind) for kind in get_args(PeerMessage)}
 _sender_decoder = Decoder(InstanceId)
@@ -71,6 +72,30 @@
     """Return the outcome in a frame."""
     if frame.reply is not None:
         return Ok(frame.reply)
-    if frame.failure is None:
-        return Error(TargetFailed("", 0))
-    return Error(decode_failure_frame(frame.failure) or TargetFailed("", 0))
+    return Error(_failure(frame.failure))
+
+
+def encode_execution(
+    request_id: str, result: Result[ExecuteReply, Failure]
+) -> ExecutionFrame:
+    """Return the frame of the outcome of one execution."""
+    match result:
+        case Result(tag="ok", ok=reply):
+            return ExecutionFrame(request_id, reply, None)
+        case Result(error=failure):
+            return ExecutionFrame(request_id, None, encode_failure_frame(failure))
+
+
+def decode_execution(frame: ExecutionFrame) -> Result[ExecuteReply, Failure]:
+    """Return the outcome of an execution in a frame."""
+    if frame.reply is not None:
+        return Ok(frame.reply)
+    return Error(_failure(frame.failure))
+
+
+def _failure(frame: FailureFrame | None) -> Failure:
+    """Return the failure in a frame; an unreadable one proves nothing."""
+    unreadable = TargetFailed("", 0)
+    if frame is None:
+        return unreadable
+    return decode_failure_frame(frame) or unreadable
