Connect the replicated log, the settings and the ledger to the instance

Cause: the log, the settings tree and the ledger were not used by a process. Change: one state machine for settings and ledger; the live list of the log's leader decides ownership; an instance serves once it has applied a barrier entry and holds a lease; POST /v1/effects, the administration routes and the status of the log are served. A corrupt log is set aside. Seen: features/callers.feature 'A frozen instance' failed once: both replicas of a shard were owned by the frozen instance.

--- a/src/lovagetray/_process_settings.py
+++ b/src/lovagetray/_process_settings.py
@@ -207,6 +207,8 @@
     peers = {key: reader.address("peers", key) for key in reader.keys("peers")}
     folder = parser.get("instance", "data_folder", fallback="").strip()
     voters = parser.get("agreement", "voters", fallback="").replace(",", " ").split()
+    if not voters:
+        reader.refuse("agreement", "voters", "", "the names of the first voters")
     for voter in voters:
         if voter != name and voter not in peers:
             reader.refuse("agreement", "voters", voter, "this instance or a peer")
--- a/src/lovagetray/_telemetry.py
+++ b/src/lovagetray/_telemetry.py
@@ -1,6 +1,6 @@
 """Logging and metrics of a process."""
 
-from logging import INFO
+from logging import CRITICAL, INFO, getLogger
 from sys import stderr
 
 from prometheus_client import Counter, Gauge, Histogram
@@ -117,6 +117,8 @@
 
 def configure_logging(level: int = INFO) -> None:
     """Write log events of a level and above as JSON lines to standard error."""
+    # curio warns in plain text about work that ends just after its time limit.
+    getLogger("curio").setLevel(CRITICAL)
     configure(
         wrapper_class=make_filtering_bound_logger(level),
         processors=[
--- a/src/lovagetray/entry/_command_routes.py
+++ b/src/lovagetray/entry/_command_routes.py
@@ -3,28 +3,49 @@
 from expression import Result
 
 from lovagetray._clock import Clock
+from lovagetray._telemetry import MEMBER_SERVICE
+from lovagetray.commands.effects import EffectRunner
 from lovagetray.commands.membership import accept_announcement
+from lovagetray.entry._router import Route
+from lovagetray.entry._settings_in_force import SettingsInForce
 from lovagetray.state import Directory, Members
 from lovagetray.wire import (
     HttpRequest,
     HttpResponse,
     Peers,
     decode_announcement,
+    decode_effect_request,
     encode_accepted,
+    encode_effect_answer,
     encode_failure,
 )
 
 
 class CommandRoutes:
-    """Takes announcements of targets."""
+    """Takes announcements of targets and callers' non-idempotent requests."""
 
     def __init__(
-        self, directory: Directory, members: Members, peers: Peers, clock: Clock
+        self,
+        directory: Directory,
+        members: Members,
+        peers: Peers,
+        clock: Clock,
+        effects: EffectRunner,
+        settings: SettingsInForce,
     ) -> None:
         self._directory = directory
         self._members = members
         self._peers = peers
         self._clock = clock
+        self._effects = effects
+        self._settings = settings
+
+    def routes(self) -> dict[tuple[str, str], Route]:
+        """Return the routes by method and path."""
+        return {
+            ("POST", "/v1/announce"): self.announce,
+            ("POST", "/v1/effects"): self.run_effect,
+        }
 
     async def announce(self, request: HttpRequest, request_id: str) -> HttpResponse:
         """Answer ``POST /v1/announce``."""
@@ -40,3 +61,18 @@
                 return encode_accepted(serving)
             case Result(error=failure):
                 return encode_failure(failure, request_id)
+
+    async def run_effect(self, request: HttpRequest, request_id: str) -> HttpResponse:
+        """Answer ``POST /v1/effects``."""
+        default_budget = self._settings.search("").deadline
+        match decode_effect_request(request.body, request_id, default_budget):
+            case Result(tag="ok", ok=effect):
+                pass
+            case Result(error=malformed):
+                return encode_failure(malformed, request_id)
+        match await self._effects.run(effect):
+            case Result(tag="ok", ok=answer):
+                MEMBER_SERVICE.labels(effect.service, effect.member).inc()
+                return encode_effect_answer(answer, request_id)
+            case Result(error=failure):
+                return encode_failure(failure, request_id)
--- /dev/null
+++ b/src/lovagetray/entry/_effect_sender.py
@@ -0,0 +1,44 @@
+"""Runs non-idempotent requests on targets through the owners of replicas."""
+
+from datetime import timedelta
+from uuid import uuid4
+
+from curio import Queue
+from expression import Error, Ok, Result
+from msgspec.json import encode
+
+from lovagetray._clock import Clock
+from lovagetray._errors import Failure, NoReply
+from lovagetray._types import ExecuteRequest
+from lovagetray.commands.effects import EffectRequest
+from lovagetray.targets import ExecuteOutcome, ExecutionSender
+
+
+class OwnerEffectSender:
+    """Hands a request to the owner of the replica and waits for the outcome."""
+
+    def __init__(self, sender: ExecutionSender, clock: Clock) -> None:
+        self._sender = sender
+        self._clock = clock
+
+    async def execute(
+        self, request: EffectRequest, target: str, limit: timedelta
+    ) -> Result[str, Failure]:
+        """Return the target's answer; the failure tells whether it may have run."""
+        inbox: Queue = Queue()
+        execution = ExecuteRequest(
+            request_id=uuid4().hex,
+            service=request.service,
+            target=target,
+            key=request.key,
+            body=encode(request.body),
+            budget=limit,
+        )
+        await self._sender.execute(execution, inbox)
+        match await self._clock.within(limit, inbox.get()):
+            case Result(tag="ok", ok=ExecuteOutcome(result=Result(tag="ok", ok=reply))):
+                return Ok(reply.body.decode("utf-8", "replace"))
+            case Result(tag="ok", ok=ExecuteOutcome(result=Result(error=failure))):
+                return Error(failure)
+            case _:
+                return Error(NoReply(target))
--- a/src/lovagetray/entry/_instance.py
+++ b/src/lovagetray/entry/_instance.py
@@ -7,22 +7,39 @@
 from structlog import get_logger
 
 from lovagetray._clock import Clock
-from lovagetray._peer_messages import Envelope, Heartbeat, Stopped
+from lovagetray._peer_messages import AgreementMessage, Envelope, Heartbeat, Stopped
 from lovagetray._process_settings import ProcessSettings
 from lovagetray._signals import SignalListener
 from lovagetray._types import InstanceId
 from lovagetray._violations import Violations
+from lovagetray.commands.effects import EffectRunner
 from lovagetray.commands.membership import digest
+from lovagetray.commands.settings import SettingsLog
 from lovagetray.entry._command_routes import CommandRoutes
+from lovagetray.entry._effect_sender import OwnerEffectSender
+from lovagetray.entry._lease import AgreementLease
+from lovagetray.entry._operators import Operators
 from lovagetray.entry._query_routes import QueryRoutes
-from lovagetray.entry._router import Router
+from lovagetray.entry._replicated_ledger import ReplicatedLedger
+from lovagetray.entry._replicated_log import (
+    open_agreement,
+    wait_for_lease,
+    wait_until_current,
+)
+from lovagetray.entry._replicated_state import Part, PartProposer, ReplicatedState
+from lovagetray.entry._router import Route, Router
+from lovagetray.entry._settings_command_routes import SettingsCommandRoutes
+from lovagetray.entry._settings_in_force import SettingsInForce
+from lovagetray.entry._settings_query_routes import SettingsQueryRoutes
 from lovagetray.queries.search import Searcher
+from lovagetray.queries.settings import announced_paths
 from lovagetray.state import (
     Directory,
     InstanceRecord,
     InstanceState,
-    MemberLease,
+    Ledger,
     Members,
+    SettingsState,
 )
 from lovagetray.targets import HttpDialer, PoolTools, TargetAccess
 from lovagetray.wire import HttpServer, Peers, encode_failure
@@ -31,9 +48,11 @@
 _SUSPICION = timedelta(milliseconds=1500)
 _HOUSEKEEPING = timedelta(seconds=1)
 _FORGET_TARGET = timedelta(minutes=1)
-_ADDRESS_LIFETIME = timedelta(seconds=10)
 _STOP_POLL = timedelta(milliseconds=100)
 _RELEASE_LIMIT = timedelta(seconds=5)
+_HAND_OVER_LIMIT = timedelta(seconds=3)
+# An instance with a disk serves its last settings if no leader is found within this.
+_CONFIRM_LIMIT = timedelta(seconds=10)
 
 
 class EntryInstance:
@@ -43,13 +62,17 @@
         self._settings = settings
         self._clock = clock
         self._violations = Violations()
-        self._directory = Directory(timedelta(seconds=3))
+        self._tree = SettingsState(self._violations)
+        self._in_force = SettingsInForce(self._tree, settings.data_centre)
+        retention = self._tree.tree.duration("/", "effects.retention")
+        self._ledger = Ledger(self._violations, retention)
+        self._directory = Directory(self._in_force.target_lifetime)
         self._members = Members(_own_record(settings, clock), _SUSPICION)
         self._peers = Peers(
             self._members.myself.instance,
             settings.peer_address,
             clock,
-            lambda: Heartbeat(self._members.myself),
+            self._heartbeat,
             self._silence_of,
             _SUSPICION,
         )
@@ -57,72 +80,140 @@
     async def run(self) -> int:
         """Serve until SIGTERM or SIGINT; return the exit code."""
         signals = SignalListener((SIGTERM, SIGINT))
+        self._agreement = await open_agreement(
+            self._settings,
+            self._clock,
+            self._peers,
+            self._violations,
+            ReplicatedState(self._tree, self._ledger),
+        )
+        self._replicated_ledger = ReplicatedLedger(
+            self._ledger, PartProposer(self._agreement, Part.LEDGER), self._clock
+        )
         async with TaskGroup(wait=None) as group:
             self._targets = self._target_access(group)
             server = HttpServer(self._router().handle, encode_failure, self._clock)
             listener = server.listen(self._settings.http_address)
             await group.spawn(self._peers.run, self._settings.peers, self._receive)
-            await group.spawn(server.run, listener)
-            await group.spawn(self._keep_house)
+            await group.spawn(self._agreement.run)
+            await group.spawn(self._replicated_ledger.run)
             await group.spawn(self._targets.run)
-            self._members.change_own_state(InstanceState.SERVING)
-            _log.info("instance_serving", address=str(self._settings.http_address))
+            await group.spawn(self._keep_house)
+            await group.spawn(server.run, listener)
+            await group.spawn(self._start_serving)
             await signals.receive()
             await self._stop(server, signals)
         return 0
 
+    async def _start_serving(self) -> None:
+        """Serve once the settings are current, so that no older ones come in force."""
+        has_disk = self._settings.data_folder is not None
+        limit = _CONFIRM_LIMIT if has_disk else None
+        instance = self._members.myself.instance
+        current = await wait_until_current(
+            self._agreement, instance, self._clock, limit
+        )
+        await wait_for_lease(self._agreement, self._clock, _CONFIRM_LIMIT)
+        if self._members.myself.state is InstanceState.STARTING:
+            self._members.change_own_state(InstanceState.SERVING)
+            await self._peers.broadcast(self._heartbeat())
+        _log.info(
+            "instance_serving",
+            address=str(self._settings.http_address),
+            revision=self._in_force.revision,
+            confirmed=current,
+        )
+
     async def _stop(self, server: HttpServer, signals: SignalListener) -> None:
         """Withdraw from address lists, serve those who hold it, finish, close."""
         self._members.change_own_state(InstanceState.LEAVING)
-        await self._peers.broadcast(Heartbeat(self._members.myself))
+        await self._peers.broadcast(self._heartbeat())
         _log.info("instance_stopping")
-        await self._clock.within(_ADDRESS_LIFETIME, signals.receive())
+        await self._clock.within(self._in_force.address_lifetime, signals.receive())
         await server.close_idle()
         while server.open_connections:
             await self._clock.sleep(_STOP_POLL)
+        await self._clock.within(_HAND_OVER_LIMIT, self._agreement.hand_over())
         if await self._targets.release_all(_RELEASE_LIMIT):
             await self._peers.broadcast(Stopped())
             await self._clock.sleep(_STOP_POLL)
         _log.info("instance_stopped")
 
     def _target_access(self, group: TaskGroup) -> TargetAccess:
+        tools = PoolTools(
+            HttpDialer(self._clock),
+            self._clock,
+            self._violations,
+            limits=self._in_force.targets,
+        )
         return TargetAccess(
             self._directory,
             self._members,
-            MemberLease(self._members, self._clock),
+            AgreementLease(self._agreement),
             self._peers,
             lambda: self._peers.names,
-            PoolTools(HttpDialer(self._clock), self._clock, self._violations),
+            tools,
             group,
+            lambda: self._in_force.orphan_limit,
         )
 
     def _router(self) -> Router:
         searcher = Searcher(
-            self._directory, self._targets.router, self._clock, self._violations
+            self._directory,
+            self._targets.router,
+            self._clock,
+            self._violations,
+            self._in_force.search,
+        )
+        queries = QueryRoutes(
+            searcher,
+            self._directory,
+            self._members,
+            self._clock,
+            self._agreement,
+            self._in_force,
+        )
+        effects = EffectRunner(
+            self._settings.name,
+            self._directory,
+            self._replicated_ledger,
+            OwnerEffectSender(self._targets.router, self._clock),
+            self._clock,
+            self._violations,
         )
-        queries = QueryRoutes(searcher, self._directory, self._members, self._clock)
         commands = CommandRoutes(
-            self._directory, self._members, self._peers, self._clock
+            self._directory,
+            self._members,
+            self._peers,
+            self._clock,
+            effects,
+            self._in_force,
         )
         return Router(
-            {
-                ("POST", "/v1/search"): queries.search,
-                ("GET", "/v1/addresses"): queries.addresses,
-                ("GET", "/v1/status"): queries.status,
-                ("GET", "/metrics"): queries.metrics,
-                ("GET", "/healthz"): queries.health,
-                ("GET", "/readyz"): queries.ready,
-                ("POST", "/v1/announce"): commands.announce,
-            }
+            {**queries.routes(), **commands.routes(), **self._operator_routes()}
         )
 
+    def _operator_routes(self) -> dict[tuple[str, str], Route]:
+        operators = Operators(self._settings.operators)
+        proposer = PartProposer(self._agreement, Part.SETTINGS)
+        log = SettingsLog(self._tree, proposer, self._clock)
+        commands = SettingsCommandRoutes(
+            self._tree, log, operators, lambda: announced_paths(self._directory)
+        )
+        queries = SettingsQueryRoutes(self._tree, operators)
+        return {**queries.routes(), **commands.routes()}
+
     async def _receive(self, envelope: Envelope) -> None:
         now = self._clock.elapsed()
         self._members.heard(envelope.sender, now)
         match envelope.message:
             case Heartbeat(record=record):
                 self._members.saw(record, now)
-                await self._peers.add(record.instance.name, record.peer_address)
+                name = record.instance.name
+                await self._peers.add(name, record.peer_address)
+                await self._agreement.add_peer(name)
+            case message if isinstance(message, AgreementMessage):
+                await self._agreement.handle(envelope.sender.name, message)
             case _:
                 await self._targets.handle(envelope)
 
@@ -131,11 +222,16 @@
         while True:
             await self._clock.sleep(_HOUSEKEEPING)
             now = self._clock.elapsed()
+            self._directory.change_lifetime(self._in_force.target_lifetime)
             self._directory.note_round(now)
             self._directory.expire(now, _FORGET_TARGET)
-            await self._peers.broadcast(Heartbeat(self._members.myself))
+            await self._peers.broadcast(self._heartbeat())
             await self._peers.broadcast(digest(self._directory))
 
+    def _heartbeat(self) -> Heartbeat:
+        self._members.change_own_revision(self._in_force.revision)
+        return Heartbeat(self._members.myself)
+
     def _silence_of(self, name: str) -> timedelta:
         heard_at = self._members.heard_at(name)
         if heard_at is None:
--- a/src/lovagetray/entry/_query_routes.py
+++ b/src/lovagetray/entry/_query_routes.py
@@ -12,8 +12,11 @@
 from lovagetray._errors import Failure
 from lovagetray._telemetry import MEMBER_SERVICE, SEARCH_SECONDS, SHARDS_MISSING
 from lovagetray._types import Answer, SearchRequest
+from lovagetray.entry._router import Route
+from lovagetray.entry._settings_in_force import SettingsInForce
+from lovagetray.queries.agreement import AgreementView, status_of
 from lovagetray.queries.membership import addresses_for
-from lovagetray.queries.search import Searcher, SettingsOf, default_settings
+from lovagetray.queries.search import Searcher
 from lovagetray.state import Directory, InstanceState, Members
 from lovagetray.wire import (
     HttpRequest,
@@ -38,13 +41,26 @@
         directory: Directory,
         members: Members,
         clock: Clock,
-        settings_of: SettingsOf = default_settings,
+        agreement: AgreementView,
+        settings: SettingsInForce,
     ) -> None:
         self._searcher = searcher
         self._directory = directory
         self._members = members
         self._clock = clock
-        self._settings_of = settings_of
+        self._agreement = agreement
+        self._settings = settings
+
+    def routes(self) -> dict[tuple[str, str], Route]:
+        """Return the routes by method and path."""
+        return {
+            ("POST", "/v1/search"): self.search,
+            ("GET", "/v1/addresses"): self.addresses,
+            ("GET", "/v1/status"): self.status,
+            ("GET", "/metrics"): self.metrics,
+            ("GET", "/healthz"): self.health,
+            ("GET", "/readyz"): self.ready,
+        }
 
     async def search(self, request: HttpRequest, request_id: str) -> HttpResponse:
         """Answer ``POST /v1/search``."""
@@ -53,7 +69,7 @@
                 pass
             case Result(error=malformed):
                 return encode_failure(malformed, request_id)
-        settings = self._settings_of(document["service"])
+        settings = self._settings.search(document["service"])
         defaults = SearchDefaults(
             deadline=settings.deadline, require_complete=settings.require_complete
         )
@@ -69,7 +85,7 @@
         caller = request.query.get("caller", request.peer_host)
         data_centre = request.query.get("data_centre", "")
         return encode_addresses(
-            addresses_for(caller, data_centre, serving), timedelta(seconds=10)
+            addresses_for(caller, data_centre, serving), self._settings.address_lifetime
         )
 
     async def status(self, request: HttpRequest, request_id: str) -> HttpResponse:
@@ -79,9 +95,16 @@
             "instance": self._members.myself.instance.name,
             "state": self._members.myself.state.value,
             "instances": [
-                {"name": record.instance.name, "state": record.state.value}
+                {
+                    "name": record.instance.name,
+                    "state": record.state.value,
+                    "data_centre": record.data_centre,
+                    "revision": record.revision,
+                }
                 for record in self._members.live(now)
             ],
+            "revision": self._settings.revision,
+            "agreement": status_of(self._agreement)._asdict(),
             "services": {
                 service: self._service_status(service, now)
                 for service in self._directory.services
--- /dev/null
+++ b/src/lovagetray/entry/_replicated_ledger.py
@@ -0,0 +1,86 @@
+"""The ledger of non-idempotent requests, through the replicated log."""
+
+from datetime import timedelta
+
+from curio import Queue
+from expression import Error, Result
+
+from lovagetray._clock import Clock
+from lovagetray._errors import Failure, OutcomeUnknown, ProposalUnconfirmed
+from lovagetray._log_entries import Proposal
+from lovagetray._proposals import Proposer
+from lovagetray.state import (
+    EffectKey,
+    EffectOutcome,
+    Ledger,
+    LedgerCommand,
+    LedgerReply,
+    ReleaseEffect,
+)
+from lovagetray.wire import decode_ledger_reply, encode_ledger_command
+
+_OUTCOME_CHECK = timedelta(milliseconds=20)
+_RELEASE_RETRY = timedelta(seconds=1)
+_RELEASE_LIMIT = timedelta(seconds=5)
+
+
+class ReplicatedLedger:
+    """Proposes ledger commands and reads the ledger of this instance."""
+
+    def __init__(self, ledger: Ledger, proposer: Proposer, clock: Clock) -> None:
+        self._ledger = ledger
+        self._proposer = proposer
+        self._clock = clock
+        self._releases: Queue = Queue()
+
+    async def propose(
+        self, command: LedgerCommand, limit: timedelta
+    ) -> Result[LedgerReply, Failure]:
+        """Commit a command within `limit` and return the ledger's reply."""
+        body = encode_ledger_command(command)
+        proposal = Proposal(_request_id(command), self._clock.now(), body)
+        done = await self._clock.within(limit, self._proposer.propose(proposal))
+        match done:
+            case Result(tag="ok", ok=Result(tag="ok", ok=encoded)):
+                return _read_reply(encoded, proposal.request_id)
+            case Result(tag="ok", ok=Result(error=failure)):
+                return Error(failure)
+            case _:
+                return Error(ProposalUnconfirmed(proposal.request_id))
+
+    async def wait_for_outcome(
+        self, key: EffectKey, limit: timedelta
+    ) -> EffectOutcome | None:
+        """Return the recorded outcome, or None after `limit`."""
+        end = self._clock.elapsed() + limit
+        while self._clock.elapsed() < end:
+            entry = self._ledger.entry(key)
+            if entry is not None and entry.outcome is not None:
+                return entry.outcome
+            await self._clock.sleep(_OUTCOME_CHECK)
+        return None
+
+    async def release_later(self, command: ReleaseEffect) -> None:
+        """Commit a release in the background, for as long as it takes."""
+        await self._releases.put(command)
+
+    async def run(self) -> None:
+        """Commit releases until cancelled."""
+        while True:
+            command = await self._releases.get()
+            while (await self.propose(command, _RELEASE_LIMIT)).is_error():
+                await self._clock.sleep(_RELEASE_RETRY)
+
+
+def _request_id(command: LedgerCommand) -> str:
+    attempt = getattr(command, "attempt", None)
+    attempt_id = "" if attempt is None else attempt.attempt_id
+    return f"ledger:{type(command).__name__}:{attempt_id}"
+
+
+def _read_reply(encoded: bytes, request_id: str) -> Result[LedgerReply, Failure]:
+    match decode_ledger_reply(encoded):
+        case Result(tag="ok") as reply:
+            return reply
+        case _:
+            return Error(OutcomeUnknown(request_id))
--- /dev/null
+++ b/src/lovagetray/entry/_replicated_log.py
@@ -0,0 +1,107 @@
+"""Opens the replicated log of an instance."""
+
+from datetime import timedelta
+from random import SystemRandom
+
+from expression import Result
+from structlog import get_logger
+
+from lovagetray._clock import Clock
+from lovagetray._log_entries import Proposal
+from lovagetray._process_settings import ProcessSettings
+from lovagetray._types import InstanceId
+from lovagetray._violations import Violations
+from lovagetray.commands.agreement import (
+    Agreement,
+    AgreementSettings,
+    FolderDisk,
+    PeerLink,
+    StateMachine,
+    Surroundings,
+)
+from lovagetray.entry._replicated_state import Part, PartProposer
+
+_log = get_logger()
+_RETRY = timedelta(milliseconds=200)
+
+
+async def open_agreement(
+    settings: ProcessSettings,
+    clock: Clock,
+    link: PeerLink,
+    violations: Violations,
+    machine: StateMachine,
+) -> Agreement:
+    """Return the instance's part in the replicated log.
+
+    A corrupt log is set aside and the instance starts with an empty disk, under a new
+    identity: it catches up from its peers before it votes again.
+    """
+    surroundings = Surroundings(
+        name=settings.name,
+        founders=settings.voters,
+        durable=settings.data_folder is not None,
+        clock=clock,
+        link=link,
+        settings=AgreementSettings(),
+        violations=violations,
+        random=SystemRandom(),
+    )
+    folder = settings.data_folder
+    while True:
+        disk = None if folder is None else FolderDisk(folder)
+        match await Agreement.open(surroundings, disk, machine):
+            case Result(tag="ok", ok=agreement):
+                break
+            case Result(error=corrupted):
+                _log.critical("log_corrupted", reason=str(corrupted))
+        if folder is not None:
+            aside = folder.with_name(
+                f"{folder.name}.corrupt-{clock.now():%Y%m%d%H%M%S}"
+            )
+            folder.rename(aside)
+    for name in settings.peers:
+        await agreement.add_peer(name)
+    return agreement
+
+
+async def wait_until_current(
+    agreement: Agreement, instance: InstanceId, clock: Clock, limit: timedelta | None
+) -> bool:
+    """Wait until this instance has applied everything that was accepted before now.
+
+    An entry of the log that changes nothing is the proof: once it is applied here, so
+    is every change that was accepted before the instance started.
+
+    Parameters
+    ----------
+    limit
+        How long to try; None for ever.
+
+    Returns
+    -------
+    bool
+        False if the limit has passed.
+    """
+    barrier = PartProposer(agreement, Part.BARRIER)
+    started = clock.elapsed()
+    request_id = f"barrier:{instance.name}:{instance.incarnation}"
+    while limit is None or clock.elapsed() - started < limit:
+        proposal = Proposal(request_id, clock.now(), b"")
+        match await barrier.propose(proposal):
+            case Result(tag="ok", ok=outcome) if agreement.applied_index >= int(
+                outcome
+            ):
+                return True
+        await clock.sleep(_RETRY)
+    return False
+
+
+async def wait_for_lease(agreement: Agreement, clock: Clock, limit: timedelta) -> bool:
+    """Wait until the leader counts this instance as live; False after `limit`."""
+    started = clock.elapsed()
+    while not agreement.lease_valid():
+        if clock.elapsed() - started >= limit:
+            return False
+        await clock.sleep(_RETRY)
+    return True
--- /dev/null
+++ b/src/lovagetray/entry/_replicated_state.py
@@ -0,0 +1,120 @@
+"""The state that the replicated log builds at every instance."""
+
+from datetime import datetime
+from enum import Enum
+
+from expression import Result
+from msgspec import DecodeError, ValidationError
+from msgspec.msgpack import Decoder, encode
+from structlog import get_logger
+
+from lovagetray._errors import Failure
+from lovagetray._log_entries import Proposal
+from lovagetray._proposals import Proposer
+from lovagetray.state import ChangeRetention, Ledger, SettingsState
+from lovagetray.wire import (
+    decode_ledger_command,
+    decode_ledger_snapshot,
+    decode_settings_command,
+    decode_settings_snapshot,
+    encode_ledger_reply,
+    encode_ledger_snapshot,
+    encode_settings_outcome,
+    encode_settings_snapshot,
+)
+
+_log = get_logger()
+_RETENTION_KEY = "effects.retention"
+_snapshot_decoder = Decoder(tuple[bytes, bytes])
+
+
+class Part(Enum):
+    """Which part of the replicated state an entry is for, as its first byte."""
+
+    SETTINGS = b"S"
+    LEDGER = b"L"
+    # Changes nothing; its outcome is the index of the entry.
+    BARRIER = b"B"
+
+
+class ReplicatedState:
+    """Settings and ledger as one state machine; the same on every instance."""
+
+    def __init__(self, settings: SettingsState, ledger: Ledger) -> None:
+        self._settings = settings
+        self._ledger = ledger
+
+    def apply(self, index: int, at: datetime, body: bytes) -> bytes:
+        """Apply one committed entry and return its encoded outcome."""
+        content = body[1:]
+        match body[:1]:
+            case b"S":
+                return self._apply_settings(index, at, content)
+            case b"L":
+                return self._apply_ledger(at, content)
+            case b"B":
+                return str(index).encode()
+            case _:
+                _log.error("log_entry_unreadable", index=index)
+                return b""
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return encode(
+            (
+                encode_settings_snapshot(self._settings.snapshot()),
+                encode_ledger_snapshot(self._ledger.snapshot()),
+            )
+        )
+
+    def restore(self, state: bytes) -> None:
+        """Replace the state with what `snapshot` returned; empty means the start."""
+        if not state:
+            return
+        try:
+            settings, ledger = _snapshot_decoder.decode(state)
+        except (DecodeError, ValidationError):
+            _log.error("state_snapshot_unreadable")
+            return
+        match decode_settings_snapshot(settings):
+            case Result(tag="ok", ok=settings_snapshot):
+                self._settings.restore(settings_snapshot)
+            case Result(error=unreadable):
+                _log.error("state_snapshot_unreadable", reason=str(unreadable))
+        match decode_ledger_snapshot(ledger):
+            case Result(tag="ok", ok=ledger_snapshot):
+                self._ledger.restore(ledger_snapshot)
+            case Result(error=malformed):
+                _log.error("state_snapshot_unreadable", reason=str(malformed))
+
+    def _apply_settings(self, index: int, at: datetime, content: bytes) -> bytes:
+        match decode_settings_command(content):
+            case Result(tag="ok", ok=command):
+                outcome = self._settings.apply(index, at, command)
+                retention = self._settings.tree.duration("/", _RETENTION_KEY)
+                self._ledger.apply(at, ChangeRetention(retention))
+                return encode_settings_outcome(outcome)
+            case Result(error=failure):
+                _log.error("log_entry_unreadable", index=index, reason=str(failure))
+                return b""
+
+    def _apply_ledger(self, at: datetime, content: bytes) -> bytes:
+        match decode_ledger_command(content):
+            case Result(tag="ok", ok=command):
+                return encode_ledger_reply(self._ledger.apply(at, command))
+            case Result(error=failure):
+                _log.error("log_entry_unreadable", reason=str(failure))
+                return b""
+
+
+class PartProposer:
+    """Proposes entries for one part of the replicated state."""
+
+    def __init__(self, proposer: Proposer, part: Part) -> None:
+        self._proposer = proposer
+        self._part = part
+
+    async def propose(self, proposal: Proposal) -> Result[bytes, Failure]:
+        """Return the encoded outcome once the entry is committed and applied."""
+        body = self._part.value + proposal.body
+        return await self._proposer.propose(proposal._replace(body=body))
--- /dev/null
+++ b/src/lovagetray/entry/_settings_in_force.py
@@ -0,0 +1,74 @@
+"""The settings in force, as typed values for the parts that use them."""
+
+from datetime import timedelta
+
+from lovagetray.queries.search import SearchSettings, policy_named
+from lovagetray.state import SettingsState
+from lovagetray.targets import TargetLimits
+
+
+class SettingsInForce:
+    """Reads the settings tree for one instance.
+
+    Parameters
+    ----------
+    data_centre
+        The data centre of the instance, the lowest level of the tree.
+    """
+
+    def __init__(self, state: SettingsState, data_centre: str) -> None:
+        self._state = state
+        self._data_centre = data_centre
+        self._revision = -1
+        self._searches: dict[str, SearchSettings] = {}
+
+    @property
+    def revision(self) -> int:
+        """The revision in force at this instance."""
+        return self._state.tree.revision
+
+    @property
+    def address_lifetime(self) -> timedelta:
+        """How long a caller may keep a list of addresses."""
+        return self._state.tree.duration("/", "addresses.lifetime")
+
+    @property
+    def orphan_limit(self) -> timedelta:
+        """How long an owner without a lease goes on with one connection."""
+        return self._state.tree.duration("/", "ownership.orphan_limit")
+
+    @property
+    def target_lifetime(self) -> timedelta:
+        """How long an announcement counts after it was heard."""
+        return self._state.tree.duration("/", "target.lifetime")
+
+    def targets(self, service: str) -> TargetLimits:
+        """Return the settings of a service that concern its targets."""
+        path = f"/{service}/{self._data_centre}"
+        return TargetLimits(
+            ramp=self._state.tree.duration(path, "target.ramp"),
+            idle_check=self._state.tree.duration(path, "target.idle_check"),
+        )
+
+    def search(self, service: str) -> SearchSettings:
+        """Return the settings of a service's searches, kept for each revision."""
+        if self._revision != self.revision:
+            self._searches.clear()
+            self._revision = self.revision
+        found = self._searches.get(service)
+        if found is None:
+            found = self._read_search(f"/{service}/{self._data_centre}")
+            self._searches[service] = found
+        return found
+
+    def _read_search(self, path: str) -> SearchSettings:
+        tree = self._state.tree
+        return SearchSettings(
+            deadline=tree.duration(path, "search.deadline"),
+            require_complete=tree.flag(path, "search.require_complete"),
+            policy=policy_named(tree.choice(path, "search.policy")),
+            hedge_budget=tree.share(path, "hedge.budget"),
+            hedge_percentile=tree.share(path, "hedge.percentile"),
+            retry_budget=tree.share(path, "retry.budget"),
+            admission_queries=tree.count(path, "admission.queries"),
+        )
--- a/src/lovagetray/state/_directory.py
+++ b/src/lovagetray/state/_directory.py
@@ -56,6 +56,10 @@
         """How long an announcement counts after it was heard."""
         return self._lifetime
 
+    def change_lifetime(self, lifetime: timedelta) -> None:
+        """Set how long an announcement counts after it was heard."""
+        self._lifetime = lifetime
+
     @property
     def services(self) -> tuple[str, ...]:
         """The services that targets have announced."""
--- a/src/lovagetray/state/_members.py
+++ b/src/lovagetray/state/_members.py
@@ -16,13 +16,20 @@
 
 
 class InstanceRecord(NamedTuple):
-    """What an instance tells its peers about itself."""
+    """What an instance tells its peers about itself.
+
+    Parameters
+    ----------
+    revision
+        The revision of the settings that is in force there.
+    """
 
     instance: InstanceId
     state: InstanceState
     data_centre: str
     http_address: Address
     peer_address: Address
+    revision: int = 0
 
 
 class Sighting(NamedTuple):
@@ -62,6 +69,10 @@
         """Set what this instance says about itself."""
         self._myself = self._myself._replace(state=state)
 
+    def change_own_revision(self, revision: int) -> None:
+        """Set the revision of the settings in force at this instance."""
+        self._myself = self._myself._replace(revision=revision)
+
     def saw(self, record: InstanceRecord, heard_at: timedelta) -> None:
         """Record that an instance was heard."""
         if record.instance.name != self._myself.instance.name:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -77,11 +77,12 @@
     def start_entries(
         self,
         count: int,
-        voters: int = 0,
+        voters: int = 3,
         data_centres: Sequence[str] = ("helsinki-1",),
         operators: dict[str, str] | None = None,
     ) -> None:
         """Start entry instances that know each other."""
+        voters = min(voters, count)
         names = [f"entry-{number}" for number in range(1, count + 1)]
         ports = free_ports(2 * count)
         http, peer = ports[:count], ports[count:]
@@ -244,7 +245,9 @@
         return EntryProcess(name, http_port, path, process)
 
     def _sees(self, entry: EntryProcess, count: int) -> bool:
-        return len(self.status(entry)["instances"]) >= count
+        found = self.status(entry)["instances"]
+        serving = [one for one in found if one["state"] == "serving"]
+        return len(serving) >= count
 
     def _log(self, name: str) -> Any:
         log = (self._folder / f"{name}.log").open("ab")
