Look for silent connections only while a second attempt fits

The first-byte limit was at most half of the time left, so a job that started late in its budget was cut off while its reply was coming: with 2 slots, 100 ms of work and 330 ms, jobs ended as no_reply. The limit now leaves room for a new connection and a mean exchange, and there is none if that does not fit.

--- a/src/lovagetray/targets/_pooled_connection.py
+++ b/src/lovagetray/targets/_pooled_connection.py
@@ -152,7 +152,8 @@
                 return Error(not_connected)
         first_byte = None
         if reused and self.may_repeat(job.work):
-            first_byte = self._latency.first_byte_limit(left)
+            cost = self._announcement.connect_cost
+            first_byte = self._latency.first_byte_limit(left, cost)
         match await self._exchange(connection, job, first_byte):
             case Result(tag="ok", ok=reply):
                 await self._close_unless_reusable()
--- a/src/lovagetray/targets/_throttle.py
+++ b/src/lovagetray/targets/_throttle.py
@@ -6,7 +6,8 @@
 _NO_TIME = timedelta(0)
 # A smaller limit would mistake ordinary scheduling delays for silence.
 _LEAST_FIRST_BYTE = timedelta(milliseconds=50)
-_LATENCY_MULTIPLE = 4
+# Of the mean and two mean deviations; exceeded by less than 1% of exponential times.
+_LATENCY_MULTIPLE = 2
 # Weight of the newest sample; the mean follows a change within about ten samples.
 _WEIGHT = 0.1
 
@@ -82,9 +83,18 @@
         self._mean += difference * _WEIGHT
         self._deviation += (abs(difference) - self._deviation) * _WEIGHT
 
-    def first_byte_limit(self, left: timedelta) -> timedelta:
-        """Return how long to wait for a first byte; at most half of the time left."""
+    def first_byte_limit(
+        self, left: timedelta, connect_cost: timedelta
+    ) -> timedelta | None:
+        """Return how long to wait for a first byte before a fresh connection is tried.
+
+        None if a second attempt could not end in the time left: then an early limit
+        would only cut off replies that are still coming.
+        """
         if self._mean is None:
             return left / 2
         expected = self._mean + 2 * self._deviation
-        return min(left / 2, max(_LEAST_FIRST_BYTE, _LATENCY_MULTIPLE * expected))
+        latest = left - connect_cost - self._mean - self._deviation
+        if latest < expected:
+            return None
+        return min(latest, max(_LEAST_FIRST_BYTE, _LATENCY_MULTIPLE * expected))
