--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -17,9 +17,15 @@
 
   Scenario: The runs notice an owner that ignores its lease
     # Guards against runs that would pass whatever ownership does.
-    When seed 4 runs with 8 s of faults and owners that ignore their lease
+    When up to 4 seeds run with cut-off instances that ignore their lease
     Then slots above the limit of a replica are reported
 
+  Scenario: Work and cancels reach the owner on a peer
+    # Guards against cancelled work that keeps a slot, also when both were sent at once.
+    When a peer of the owner sends two searches and cancels one of them
+    Then the other search succeeded and no slot stays in use
+    And a cancel sent together with its search follows it
+
   Scenario: A replica that was released can be owned again
     # Guards against a drained pool that refuses all work of its next ownership.
     When a replica is released during a job and gets another job later
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -7,18 +7,25 @@
 from behave import given, then, when
 from behave.runner import Context
 from curio import Queue, TaskGroup, sleep
+from fakes.instances import FakeInstance, FakeNetwork
 from fakes.ownership_run import run_seed
-from fakes.replica import FakeDialer, FakeReplica, make_announcement
+from fakes.replica import SNAPSHOT, FakeDialer, FakeReplica, make_announcement
 from fakes.virtual_time import run_virtual
 
 from lovagetray import SystemClock
-from lovagetray._peer_messages import AgedAnnouncement, Announced
+from lovagetray._peer_messages import (
+    AgedAnnouncement,
+    Announced,
+    CancelSubRequests,
+    RunSubRequests,
+)
 from lovagetray._telemetry import RELAYS_REFUSED
-from lovagetray._types import Allowance, ExecuteRequest, ReplicaKey
+from lovagetray._types import Allowance, ExecuteRequest, ReplicaKey, SubRequest
 from lovagetray._violations import Violations
 from lovagetray.commands.membership import OwnershipTransfer, accept_relayed
 from lovagetray.state import Directory
 from lovagetray.targets import Execute, Job, PoolTools, ReplicaPools
+from lovagetray.wire._peers import join_messages
 
 _SERVICE = "venture/portal"
 _START = timedelta(seconds=1000)
@@ -40,11 +47,14 @@
     context.report = run_seed(seed, fault_time=seconds)
 
 
-@when(
-    "seed {seed:d} runs with {seconds:d} s of faults and owners that ignore their lease"
-)
-def run_broken(context: Context, seed: int, seconds: int) -> None:
-    context.report = run_seed(seed, fault_time=seconds, transfer=_WithoutLease)
+@when("up to {count:d} seeds run with cut-off instances that ignore their lease")
+def run_broken(context: Context, count: int) -> None:
+    for seed in range(4, 4 + count):
+        context.report = run_seed(
+            seed, instances=2, fault_time=15, kinds="isolate", transfer=_WithoutLease
+        )
+        if context.report.problems:
+            return
 
 
 @then("no rule is broken and {count:d} requests were answered")
@@ -60,6 +70,52 @@
     assert any("slots" in problem for problem in problems), problems[:10]
 
 
+async def _cancel_at_peer() -> tuple[list[Any], int]:
+    names, network, inbox = ["entry-0", "entry-1"], FakeNetwork(), Queue()
+    announcement = make_announcement("portal-0", 2, 25)
+    replica = FakeReplica(announcement, Random(1))
+    async with TaskGroup(wait=None) as group:
+        for name in names:
+            one = FakeInstance(name, 1, names, network, {"portal-0": replica})
+            network.instances[name] = one
+            await group.spawn(one.run)
+        await group.spawn(network.lead)
+        await sleep(1)
+        await network.instances["entry-0"].announce(announcement)
+        await sleep(1)
+        peers = network.instances.values()
+        [peer] = [one for one in peers if not one.targets._ownership.held()]
+        for name in ("slow", "quick"):
+            replica.mean_work = 0.01 if name == "quick" else 1e6
+            work = (name, "query", _SERVICE, "portal-0", 0, SNAPSHOT)
+            request = SubRequest(*work, _seconds(1), "bed", 5)
+            await peer.targets.router.send([request], inbox)
+            await sleep(0.05)
+        await peer.targets.router.cancel(["slow"])
+        await sleep(0.2)
+        outcomes = [await inbox.get() for _ in range(inbox.qsize())]
+        return outcomes, replica.in_flight
+
+
+@when("a peer of the owner sends two searches and cancels one of them")
+def cancel_at_peer(context: Context) -> None:
+    context.outcomes, context.in_flight = run_virtual(_cancel_at_peer)
+
+
+@then("the other search succeeded and no slot stays in use")
+def check_cancelled(context: Context) -> None:
+    found = [(one.request_id, one.result.is_ok()) for one in context.outcomes]
+    assert found == [("quick", True)], found
+    assert context.in_flight == 0
+
+
+@then("a cancel sent together with its search follows it")
+def check_order(context: Context) -> None:
+    cancel, run_it = CancelSubRequests(("one",)), RunSubRequests(())
+    joined = join_messages([run_it, cancel])
+    assert joined == [run_it, cancel], joined
+
+
 async def _release_during_job() -> list[Any]:
     clock, inbox = SystemClock(), Queue()
     directory = Directory(_seconds(60))
