--- a/tools/target.py
+++ b/tools/target.py
@@ -1,10 +1,11 @@
 """Target stand-in: serves one shard of invoice records; not part of the program."""
 
 from argparse import ArgumentDefaultsHelpFormatter, ArgumentParser, Namespace
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from random import Random
 from signal import SIGINT, SIGTERM
-from sys import stderr
+from sys import argv, stderr
 from time import time_ns
 from typing import Any, NamedTuple
 
@@ -17,12 +18,15 @@
 from lovagetray.cli._arguments import address_argument
 from lovagetray.wire import (
     HttpConnection,
+    HttpLimits,
     HttpRequest,
     HttpResponse,
     HttpServer,
     encode_failure,
 )
 
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+_JSON = {"content-type": "application/json"}
 _ANNOUNCE_EVERY = 1.0
 _WORDS = "wedding portrait press family studio print album travel retouch express"
 _TOWNS = "Helsinki Turku Tampere Oulu Kuopio Vaasa Pori Lahti Kotka Joensuu"
@@ -75,24 +79,40 @@
         self._delay = arguments.delay
         self._fault = arguments.fault
         self._executed: list[str] = []
+        self._received = 0
+        self._frozen_reports: tuple[int, int] | None = None
         self._entries: list[Address] = list(arguments.entry)
         self._clock = SystemClock()
 
+    @property
+    def name(self) -> str:
+        """The name under which the target announces itself."""
+        return str(self._arguments.name)
+
     async def run(self) -> None:
         """Serve and announce until SIGTERM, then drain."""
-        server = HttpServer(self._handle, encode_failure, self._clock)
-        listener = server.listen(Address("127.0.0.1", self._arguments.port))
-        self._port = listener._socket.getsockname()[1]
         signals = SignalListener((SIGTERM, SIGINT))
         async with TaskGroup(wait=None) as group:
-            await group.spawn(server.run, listener)
-            await group.spawn(self._announce_forever)
+            await group.spawn(self.serve)
             await signals.receive()
             self._state = "leaving"
             for _ in range(2):
                 await self._announce_once()
             await sleep(self._arguments.drain)
 
+    async def serve(self) -> None:
+        """Serve and announce until cancelled; each call is a new incarnation."""
+        self._incarnation = time_ns()
+        self._in_flight = 0
+        limits = HttpLimits(connections=self._arguments.connections)
+        cost = self._arguments.connect_delay / 1000
+        server = _SlowToConnect(self._handle, self._clock, limits, cost)
+        listener = server.listen(Address("127.0.0.1", self._arguments.port))
+        self._port = listener._socket.getsockname()[1]
+        async with TaskGroup(wait=any) as group:
+            await group.spawn(server.run, listener)
+            await group.spawn(self._announce_forever)
+
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         match request.method, request.path:
             case "POST", "/search":
@@ -100,20 +120,28 @@
             case "POST", "/execute":
                 return await self._execute(request)
             case "POST", "/control":
-                return self._control(decode(request.body))
+                document = self.change(decode(request.body))
+                return HttpResponse(200, dict(_JSON), encode(document))
             case _:
                 return _reply(404, {"code": "unknown"}, request)
 
-    def _control(self, change: dict[str, Any]) -> HttpResponse:
-        """Change delay, fault, versions or state while the target runs."""
+    def change(self, change: dict[str, Any]) -> dict[str, Any]:
+        """Change delay, fault, versions, state or reports while the target runs."""
         self._delay = change.get("delay", self._delay)
         self._fault = change.get("fault", self._fault)
         self._state = change.get("state", self._state)
         self._versions = set(change.get("versions", self._versions))
-        document = {"executed": self._executed, "in_flight": self._in_flight}
-        return HttpResponse(200, {"content-type": "application/json"}, encode(document))
+        if "freeze_reports" in change:
+            frozen = (self._in_flight, 0) if change["freeze_reports"] else None
+            self._frozen_reports = frozen
+        return {
+            "executed": self._executed,
+            "in_flight": self._in_flight,
+            "received": self._received,
+        }
 
     async def _search(self, request: HttpRequest) -> HttpResponse:
+        self._received += 1
         refusal = self._refusal(request)
         if refusal is not None:
             return refusal
@@ -153,7 +181,9 @@
     async def _work(self) -> None:
         if self._fault == "silent":
             await Event().wait()
-        await sleep(self._random.expovariate(1.0) * self._delay / 1000)
+        tail = self._arguments.tail
+        factor = 1 - tail + tail * self._random.expovariate(1.0)
+        await sleep(factor * self._delay / 1000)
 
     async def _announce_forever(self) -> None:
         while True:
@@ -195,6 +225,7 @@
 
     def _announcement(self) -> dict[str, Any]:
         arguments = self._arguments
+        in_flight, queued = self._frozen_reports or (self._in_flight, 0)
         return {
             "service": arguments.service,
             "target": arguments.name,
@@ -216,11 +247,25 @@
             "slots": arguments.slots,
             "connections": arguments.connections,
             "connect_cost_ms": arguments.connect_cost,
-            "in_flight": self._in_flight,
-            "queued": 0,
+            "in_flight": in_flight,
+            "queued": queued,
         }
 
 
+class _SlowToConnect(HttpServer):
+    """A server whose new connections each cost time before the first exchange."""
+
+    def __init__(
+        self, handler: Handler, clock: SystemClock, limits: HttpLimits, cost: float
+    ) -> None:
+        super().__init__(handler, encode_failure, clock, limits)
+        self._cost = cost
+
+    async def _serve(self, client: Any, peer_host: str) -> None:
+        await sleep(self._cost)
+        await super()._serve(client, peer_host)
+
+
 def _words_of(invoice: Invoice) -> set[str]:
     text = f"{invoice.fields['text']} {invoice.fields['town']}"
     return {*text.lower().split(), invoice.id.lower()}
@@ -241,8 +286,8 @@
     return HttpResponse(status, headers, encode(document))
 
 
-def main() -> None:
-    """Run one target."""
+def target_parser() -> ArgumentParser:
+    """Return the parser of the options of one target."""
     parser = ArgumentParser(
         description=__doc__, formatter_class=ArgumentDefaultsHelpFormatter
     )
@@ -260,14 +305,30 @@
     parser.add_argument("--slots", type=int, default=5)
     parser.add_argument("--connections", type=int, default=40)
     parser.add_argument("--connect-cost", type=float, default=6, help="milliseconds")
+    parser.add_argument(
+        "--connect-delay", type=float, default=0, help="time a connection takes, ms"
+    )
     parser.add_argument("--delay", type=float, default=5, help="mean work, ms")
+    parser.add_argument(
+        "--tail", type=float, default=1.0, help="share of the work that is exponential"
+    )
     parser.add_argument("--drain", type=float, default=4, help="seconds")
     parser.add_argument(
         "--fault", default="", choices=["", "silent", "shed", "crossed", "mixed"]
     )
-    arguments = parser.parse_args()
+    return parser
+
+
+def make_target(options: list[str]) -> Target:
+    """Return the target that command line options describe."""
+    arguments = target_parser().parse_args(options)
     arguments.version = arguments.version or [1]
-    run(Target(arguments).run)
+    return Target(arguments)
+
+
+def main() -> None:
+    """Run one target."""
+    run(make_target(argv[1:]).run)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tools/target_host.py
@@ -0,0 +1,94 @@
+"""Many target stand-ins in one process, for rates that one process each cannot reach.
+
+Options that are not listed here go to every target; see ``target.py --help``.
+"""
+
+from argparse import ArgumentDefaultsHelpFormatter, ArgumentParser
+from collections.abc import Sequence
+from signal import SIGINT, SIGTERM
+from typing import Any
+
+from curio import Task, TaskGroup, run
+from msgspec.json import decode, encode
+from target import Target, make_target
+
+from lovagetray import Address, SystemClock
+from lovagetray._signals import SignalListener
+from lovagetray.wire import HttpRequest, HttpResponse, HttpServer, encode_failure
+
+
+class TargetHost:
+    """Runs targets, each on a port of its own, and changes them on request.
+
+    A lost target refuses connections and stops announcing, as after a crash; a target
+    that comes back has a new incarnation and another port.
+    """
+
+    def __init__(self, targets: Sequence[Target], control_port: int) -> None:
+        self._targets = {target.name: target for target in targets}
+        self._control_port = control_port
+        self._tasks: dict[str, Task] = {}
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        signals = SignalListener((SIGTERM, SIGINT))
+        server = HttpServer(self._handle, encode_failure, SystemClock())
+        listener = server.listen(Address("127.0.0.1", self._control_port))
+        async with TaskGroup(wait=None) as self._group:
+            await self._group.spawn(server.run, listener)
+            for name in self._targets:
+                await self._start(name)
+            await signals.receive()
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        """Apply a change to the targets it names, or to all if it names none."""
+        document = decode(request.body)
+        change = document.get("change", {})
+        told: dict[str, Any] = {}
+        for name in document.get("targets") or list(self._targets):
+            told[name] = self._targets[name].change(change)
+            match change.get("alive"):
+                case False if name in self._tasks:
+                    await self._tasks.pop(name).cancel()
+                case True if name not in self._tasks:
+                    await self._start(name)
+        return HttpResponse(200, {"content-type": "application/json"}, encode(told))
+
+    async def _start(self, name: str) -> None:
+        self._tasks[name] = await self._group.spawn(self._targets[name].serve)
+
+
+def target_name(service: str, shard: int, replica: int) -> str:
+    """Return the name of one replica of one shard."""
+    return f"{service.split('/')[-1]}-{shard}-{replica}"
+
+
+def main() -> None:
+    """Run the targets of one service, or some of its replicas."""
+    parser = ArgumentParser(
+        description=__doc__, formatter_class=ArgumentDefaultsHelpFormatter
+    )
+    parser.add_argument("--control-port", type=int, required=True)
+    parser.add_argument("--service", default="kallioniemi/invoices")
+    parser.add_argument("--shards", type=int, default=1)
+    parser.add_argument("--replicas", type=int, default=1)
+    parser.add_argument("--first-shard", type=int, default=0)
+    parser.add_argument("--last-shard", type=int, default=0, help="0: all shards")
+    parser.add_argument(
+        "--data-centres", default="helsinki-1", help="one for each replica, with commas"
+    )
+    arguments, others = parser.parse_known_args()
+    data_centres = arguments.data_centres.split(",")
+    targets = []
+    for shard in range(arguments.first_shard, arguments.last_shard or arguments.shards):
+        for replica in range(arguments.replicas):
+            options = ["--service", arguments.service, "--shard", str(shard)]
+            options += ["--shards", str(arguments.shards)]
+            options += ["--name", target_name(arguments.service, shard, replica)]
+            options += ["--data-centre", data_centres[replica % len(data_centres)]]
+            targets.append(make_target([*options, *others]))
+    run(TargetHost(targets, arguments.control_port).run)
+
+
+if __name__ == "__main__":
+    main()
