Measure replica policies side by side at the users' shapes

Cause: the goals compare policies under the same load and the same faults, which needs one command that runs them side by side. Shares of members are compared as answers per request, since a short run ends in the middle of a turn.

--- a/tools/load.py
+++ b/tools/load.py
@@ -22,6 +22,8 @@
 from lovagetray.cli._caller import Caller
 from lovagetray.wire import HttpConnection, HttpResponse
 
+# Tells the parent process that the warm-up is over.
+MEASURING = "measuring"
 _SUB_REQUESTS = "lovagetray_sub_requests_total"
 _ASK_LIMIT = timedelta(seconds=3)
 # The reply needs time to travel after the deadline of the search has passed.
@@ -114,6 +116,7 @@
         them belong to requests of the phase before.
         """
         counts = [await group.spawn(read_sub_requests, self._plan, self._clock)]
+        print(MEASURING, flush=True)
         records = []
         for number, phase in enumerate(self._plan.phases):
             records.append(await self._send(phase, self._plan.seed + number))
@@ -164,22 +167,24 @@
             case Result(tag="ok", ok=response):
                 _record(request, latency, response)
             case Result(error=failure):
-                request.record.lose(type(failure).__name__, latency)
+                member = request.arrival.member
+                request.record.lose(member, type(failure).__name__, latency)
 
 
 def _record(request: _Request, latency: timedelta, response: HttpResponse) -> None:
+    member = request.arrival.member
     try:
         document = _response_decoder.decode(response.body)
     except (DecodeError, ValidationError):
-        request.record.lose("malformed", latency)
+        request.record.lose(member, "malformed", latency)
         return
     match document:
         case {"coverage": coverage}:
-            request.record.answer(request.arrival.member, latency, coverage)
+            request.record.answer(member, latency, coverage)
         case {"error": problem}:
-            request.record.refuse(problem["code"], problem["not_run"])
+            request.record.refuse(member, problem["code"], problem["not_run"])
         case _:
-            request.record.lose("malformed", latency)
+            request.record.lose(member, "malformed", latency)
 
 
 async def read_sub_requests(plan: LoadPlan, clock: Clock) -> dict[str, float]:
--- /dev/null
+++ b/tools/measure_policies.py
@@ -0,0 +1,215 @@
+"""Measures replica policies side by side at the users' shapes.
+
+For each service one fleet of entry instances and stand-ins is started; each case then
+runs once with each policy, and a sweep gives latency against load. The results go into
+a folder as JSON, with a plot, and the page is written from the JSON. A condition begins
+when the warm-up is over, so that its onset is part of the figures.
+"""
+
+from argparse import ArgumentDefaultsHelpFormatter, ArgumentParser, Namespace
+from collections.abc import Iterator, Sequence
+from datetime import datetime, timezone
+from math import ceil
+from os import cpu_count, getloadavg
+from pathlib import Path
+from shlex import join
+from subprocess import PIPE, Popen
+from sys import argv, executable
+from tempfile import TemporaryDirectory
+from time import sleep
+from typing import Any
+
+from conditions import ServiceOnHosts, condition_in_force
+from fleet import Fleet
+from measurement_page import Results, Run, plot, write_page
+from msgspec.json import Decoder, decode, encode, format as format_json
+from policies import (
+    CASES,
+    POLICIES,
+    Calm,
+    Case,
+    Overload,
+    Policy,
+    Shape,
+    select_policy,
+    shapes,
+)
+
+from load import MEASURING
+
+_LOAD = str(Path(__file__).with_name("load.py"))
+_SWEEP = (0.3, 0.5, 0.7, 0.85, 1.0, 1.1)
+_SETTLE_SECONDS = 2.0
+_WARM_UP_SECONDS = 2.0
+_MEMBERS = 4
+_MOST_CALLERS = 128
+
+
+class Bench:
+    """One service on its fleet."""
+
+    def __init__(
+        self, fleet: Fleet, hosts: ServiceOnHosts, shape: Shape, arguments: Namespace
+    ) -> None:
+        self._fleet = fleet
+        self._hosts = hosts
+        self._shape = shape
+        self._arguments = arguments
+        self._capacity = shape.capacity * arguments.scale
+
+    def cases(self, cases: Sequence[Case], policies: Sequence[Policy]) -> Iterator[Run]:
+        """Yield a run of each case with each policy."""
+        for case in cases:
+            for policy in policies:
+                yield self._run(case, policy, self._phases(case))
+
+    def sweep(self, policies: Sequence[Policy]) -> Iterator[Run]:
+        """Yield a calm run over a range of loads with each policy."""
+        case = Case("sweep", Calm(), _SWEEP[0], CASES[0].deadline)
+        seconds = self._arguments.duration
+        phases = [(share * self._capacity, seconds) for share in _SWEEP]
+        for policy in policies:
+            yield self._run(case, policy, phases)
+
+    def _phases(self, case: Case) -> list[tuple[float, float]]:
+        seconds = self._arguments.duration
+        usual = (case.load * self._capacity, seconds)
+        match case.condition:
+            case Overload(factor=factor):
+                return [usual, (factor * self._capacity, seconds), usual]
+            case _:
+                return [usual]
+
+    def _run(
+        self, case: Case, policy: Policy, phases: list[tuple[float, float]]
+    ) -> Run:
+        applied = select_policy(self._fleet, self._shape.service, policy)
+        sleep(_SETTLE_SECONDS)
+        with TemporaryDirectory() as folder:
+            output = Path(folder) / "load.json"
+            command = self._command(case, phases, output)
+            with Popen(command, stdout=PIPE, text=True) as process:
+                assert process.stdout is not None
+                if process.stdout.readline().strip() != MEASURING:
+                    raise RuntimeError("the load tool ended before it measured")
+                with condition_in_force(self._hosts, case.condition, self._shape.work):
+                    print(process.stdout.read(), end="", flush=True)
+                    process.wait()
+            measured = decode(output.read_bytes())["phases"]
+        return Run(
+            service=self._shape.title,
+            capacity=self._capacity,
+            case=case.name,
+            policy=policy.name,
+            applied=applied,
+            phases=measured,
+        )
+
+    def _command(
+        self, case: Case, phases: list[tuple[float, float]], output: Path
+    ) -> list[str]:
+        shape = self._shape
+        deadline = case.deadline.total_seconds()
+        busiest = max(rate for rate, _ in phases)
+        callers = min(ceil(2 * busiest * deadline / _MEMBERS) + 8, _MOST_CALLERS)
+        command = [executable, _LOAD, "--service", shape.service]
+        command += ["--deadline", str(deadline * 1000), "--members", str(_MEMBERS)]
+        command += ["--callers", str(callers), "--output", str(output)]
+        command += ["--data-centres", ",".join(shape.data_centres)]
+        command += ["--warm-up", str(_WARM_UP_SECONDS)]
+        command += ["--seed", str(self._arguments.seed)]
+        for rate, seconds in phases:
+            command += ["--phase", f"{rate:.2f}:{seconds}"]
+        for entry in self._fleet.entries:
+            command += ["--entry", f"127.0.0.1:{entry.http_port}"]
+        for port in self._hosts.control_ports:
+            command += ["--count-targets", f"127.0.0.1:{port}"]
+        return command
+
+
+def measure(arguments: Namespace) -> Results:
+    """Return the results of all chosen runs."""
+    policies = [one for one in POLICIES if one.name in arguments.policies]
+    cases = [one for one in CASES if one.name in arguments.cases]
+    results = Results(
+        command=join(["python", *argv]),
+        date=f"{datetime.now(timezone.utc):%Y-%m-%d %H:%M} UTC",
+        seed=arguments.seed,
+        cores=cpu_count() or 0,
+        machine_load=round(getloadavg()[0], 2),
+        entries=arguments.entries,
+        work_ms=arguments.work,
+        runs=[],
+        sweep=[],
+    )
+    for shape in shapes(arguments.work):
+        if shape.title not in arguments.services:
+            continue
+        with TemporaryDirectory() as folder, Fleet(Path(folder)) as fleet:
+            fleet.start_entries(
+                arguments.entries, voters=3, data_centres=shape.data_centres
+            )
+            with ServiceOnHosts(fleet, shape, arguments.hosts) as hosts:
+                bench = Bench(fleet, hosts, shape, arguments)
+                for run in bench.cases(cases, policies):
+                    print(f"{run['service']}: {run['case']}: {run['policy']}")
+                    results["runs"].append(run)
+                if arguments.sweep == shape.title:
+                    results["sweep"].extend(bench.sweep(policies))
+    return results
+
+
+def _parser() -> ArgumentParser:
+    titles = [shape.title for shape in shapes(1)]
+    parser = ArgumentParser(
+        description=__doc__, formatter_class=ArgumentDefaultsHelpFormatter
+    )
+
+    def subset(name: str, known: list[str]) -> None:
+        parser.add_argument(
+            name,
+            nargs="*",
+            choices=known,
+            default=known,
+            metavar="NAME",
+            help=str(known),
+        )
+
+    parser.add_argument("folder", type=Path, help="for results.json and latency.png")
+    subset("--services", titles)
+    subset("--cases", [case.name for case in CASES])
+    subset("--policies", [policy.name for policy in POLICIES])
+    parser.add_argument("--sweep", default=titles[0], help="service; none if empty")
+    parser.add_argument("--duration", type=float, default=5, help="s of each phase")
+    parser.add_argument("--work", type=float, default=80, help="mean of a target, ms")
+    parser.add_argument("--scale", type=float, default=1, help="factor on all loads")
+    parser.add_argument("--entries", type=int, default=9)
+    parser.add_argument("--hosts", type=int, default=2, help="processes of stand-ins")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--page", type=Path, help="write the page to this file")
+    parser.add_argument(
+        "--from-json", action="store_true", help="measure nothing, write again"
+    )
+    parser.add_argument(
+        "--trial", action="store_true", help="write the page of a run without policies"
+    )
+    return parser
+
+
+def main() -> None:
+    """Measure, and write results, plot and page."""
+    arguments = _parser().parse_args()
+    arguments.folder.mkdir(parents=True, exist_ok=True)
+    file = arguments.folder / "results.json"
+    if arguments.from_json:
+        results: Any = Decoder(Results).decode(file.read_bytes())
+    else:
+        results = measure(arguments)
+        file.write_bytes(format_json(encode(results), indent=2))
+    plot(results, arguments.folder / "latency.png")
+    if arguments.page:
+        write_page(results, arguments.page, arguments.trial)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/measurement_page.py
@@ -0,0 +1,261 @@
+"""Writes the plot and the page of measurements from their results."""
+
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+from typing import NamedTuple, TypedDict
+
+from matplotlib import use
+from policies import (
+    CALM,
+    CASES,
+    FROZEN,
+    LOST,
+    OURS,
+    OVERLOAD,
+    PLAIN,
+    POLICIES,
+    SLOW,
+    shapes,
+)
+from recording import PhaseReport
+
+use("Agg")
+from matplotlib import pyplot  # noqa: E402
+
+_P99_MS = 330.0
+_STRAGGLER_SHARE = 1 / 3
+_EXTRA = 0.05
+_OVERLOAD_SHARE = 0.9
+_SPREAD = 0.05
+
+
+class Run(TypedDict):
+    """One case with one policy; `applied` tells whether the policy was in force."""
+
+    service: str
+    capacity: float
+    case: str
+    policy: str
+    applied: bool
+    phases: list[PhaseReport]
+
+
+class Results(TypedDict):
+    """Everything that one command measured."""
+
+    command: str
+    date: str
+    seed: int
+    cores: int
+    machine_load: float
+    entries: int
+    work_ms: float
+    runs: list[Run]
+    sweep: list[Run]
+
+
+class Goal(NamedTuple):
+    """A goal beside what was measured; `met` is None if it was not measured."""
+
+    text: str
+    measured: str
+    met: bool | None
+
+
+class PoliciesNotApplied(Exception):
+    """The results come from runs in which no policy was in force."""
+
+
+def write_page(results: Results, page: Path, trial: bool) -> None:
+    """Write the page; results without policies need `trial`, which labels the page."""
+    applied = all(run["applied"] for run in [*results["runs"], *results["sweep"]])
+    if not applied and not trial:
+        raise PoliciesNotApplied("the instances did not put the policies in force")
+    page.write_text("\n".join(_lines(results, applied)) + "\n")
+
+
+def plot(results: Results, file: Path) -> None:
+    """Draw latency against load for each policy."""
+    figure, axes = pyplot.subplots(figsize=(8, 5))
+    for run in results["sweep"]:
+        loads = [phase["rate"] / run["capacity"] for phase in run["phases"]]
+        for name, style in (("p50", "--"), ("p99", "-")):
+            values = [phase["latency_ms"][name] for phase in run["phases"]]
+            axes.plot(
+                loads, values, style, marker="o", label=f"{run['policy']}, {name}"
+            )
+    axes.axhline(_P99_MS, color="grey", linewidth=0.8)
+    axes.set_xlabel("load as a share of the capacity of all slots")
+    axes.set_ylabel("latency from the planned send time, ms")
+    axes.set_yscale("log")
+    title = results["sweep"][0]["service"] if results["sweep"] else "not run"
+    axes.set_title(f"{title}, {results['date']}")
+    if results["sweep"]:
+        axes.legend()
+    figure.savefig(file, dpi=120)
+    pyplot.close(figure)
+
+
+def goals(results: Results, service: str) -> list[Goal]:
+    """Return the goals of a service beside its figures with the system's policy."""
+    return [
+        _tail(results, service),
+        *_straggler(results, service),
+        _coverage(results, service),
+        *_overload(results, service),
+        _fairness(results, service),
+    ]
+
+
+def _phases(results: Results, *key: str) -> list[PhaseReport]:
+    for run in results["runs"]:
+        if (run["service"], run["case"], run["policy"]) == key:
+            return run["phases"]
+    return []
+
+
+def _tail(results: Results, service: str) -> Goal:
+    text = f"calm p99 at most {_P99_MS:.0f} ms"
+    calm = _phases(results, service, CALM, OURS)
+    if not calm:
+        return Goal(text, "not run", None)
+    p99 = calm[0]["latency_ms"]["p99"]
+    return Goal(text, f"{p99:.0f} ms", p99 <= _P99_MS)
+
+
+def _straggler(results: Results, service: str) -> Iterator[Goal]:
+    for case in (SLOW, FROZEN):
+        text = f"{case}: p99 at most a third of plain fan-out's"
+        extra_text = f"{case}: at most 5% extra sub-requests"
+        ours = _phases(results, service, case, OURS)
+        plain = _phases(results, service, case, PLAIN)
+        if not ours or not plain:
+            yield Goal(text, "not run", None)
+            yield Goal(extra_text, "not run", None)
+            continue
+        p99, other = (one[0]["latency_ms"]["p99"] for one in (ours, plain))
+        measured = f"{p99:.0f} ms against {other:.0f} ms"
+        yield Goal(text, measured, p99 <= other * _STRAGGLER_SHARE)
+        over = ours[0]["sub_requests_over_least"]
+        if over is None:
+            yield Goal(extra_text, "not counted", None)
+        else:
+            yield Goal(extra_text, f"{over - 1:.1%}", over - 1 <= _EXTRA)
+
+
+def _coverage(results: Results, service: str) -> Goal:
+    text = "no coverage lost while one replica of each shard lives"
+    lost = _phases(results, service, LOST, OURS)
+    if not lost:
+        return Goal(text, "not run", None)
+    share = lost[0]["mean_coverage"]
+    return Goal(text, f"mean coverage {share:.4f}", share == 1.0)
+
+
+def _overload(results: Results, service: str) -> Iterator[Goal]:
+    text = "1.2 times capacity: at least 90% of the throughput below it in time"
+    rest = "1.2 times capacity: the rest refused as not run"
+    phases = _phases(results, service, OVERLOAD, OURS)
+    if not phases:
+        yield Goal(text, "not run", None)
+        yield Goal(rest, "not run", None)
+        return
+    below, above = phases[0], phases[1]
+    share = above["in_time_per_second"] / max(below["in_time_per_second"], 1e-9)
+    yield Goal(text, f"{share:.1%}", share >= _OVERLOAD_SHARE)
+    others = above["asked"] - above["in_time"]
+    other = others - above["refused_not_run"]
+    yield Goal(rest, f"{other} of {others} late, lost or otherwise refused", not other)
+
+
+def _fairness(results: Results, service: str) -> Goal:
+    text = "answers of equal members within 5%"
+    found = [
+        phase["spread"]
+        for run in results["runs"]
+        if run["service"] == service and run["policy"] == OURS
+        for phase in run["phases"]
+    ]
+    if not found:
+        return Goal(text, "not run", None)
+    return Goal(text, f"largest spread {max(found):.1%}", max(found) <= _SPREAD)
+
+
+def _lines(results: Results, applied: bool) -> Iterator[str]:
+    yield "# Measurements"
+    yield ""
+    if not applied:
+        yield "**Trial page: no policy was in force, so the figures only show the tools.**"
+        yield ""
+    yield f"Written by `{results['command']}`"
+    yield f"on {results['date']}, seed {results['seed']}, from the `results.json` of that"
+    yield f"run: {results['entries']} entry instances on {results['cores']} cores of one"
+    yield f"machine, load average {results['machine_load']} at the start. Targets are"
+    yield f"stand-ins that share processes; their work ({results['work_ms']:.0f} ms on"
+    yield "average, a fifth of it exponential) is sleep. Loopback adds no delay between data"
+    yield "centres. Latency runs from the planned send time. A condition begins together"
+    yield "with the measured phase, so that its onset is part of the figures."
+    for service in dict.fromkeys(run["service"] for run in results["runs"]):
+        yield from _service(results, service)
+    if results["sweep"]:
+        yield ""
+        yield f"## Latency against load, {results['sweep'][0]['service']}"
+        yield ""
+        yield from _table(results["sweep"])
+    yield ""
+    yield "## Not run"
+    yield ""
+    yield from (f"- {line}" for line in _not_run(results))
+    yield "- Services whose shape equals a measured one (payment matching, reminders,"
+    yield "  kiosk desk, receipts, release board) have no runs of their own."
+
+
+def _service(results: Results, service: str) -> Iterator[str]:
+    yield ""
+    yield f"## {service[0].upper()}{service[1:]}"
+    yield ""
+    yield "| Goal | Measured | Met |"
+    yield "|---|---|---|"
+    words = {True: "yes", False: "**no**", None: "not measured"}
+    for goal in goals(results, service):
+        yield f"| {goal.text} | {goal.measured} | {words[goal.met]} |"
+    yield ""
+    yield from _table([run for run in results["runs"] if run["service"] == service])
+
+
+def _table(runs: Sequence[Run]) -> Iterator[str]:
+    yield (
+        "| Case | Policy | Asked/s | Answered/s | In time/s | p50 ms | p99 ms | p99.9 ms"
+        " | Coverage | Whole | Extra | Spread | Refused, lost |"
+    )
+    yield "|---|---|" + "---:|" * 10 + "---|"
+    for run in runs:
+        for phase in run["phases"]:
+            latency = phase["latency_ms"]
+            over = phase["sub_requests_over_least"]
+            failed = {**phase["refused"], **phase["lost"]}
+            told = ", ".join(f"{code} {count}" for code, count in failed.items())
+            yield (
+                f"| {run['case']} | {run['policy']} | {phase['rate']:.0f}"
+                f" | {phase['answers_per_second']:.0f}"
+                f" | {phase['in_time_per_second']:.0f} | {latency['p50']:.0f}"
+                f" | {latency['p99']:.0f} | {latency['p999']:.0f}"
+                f" | {phase['mean_coverage']:.4f} | {phase['whole_share']:.4f}"
+                f" | {'-' if over is None else f'{over - 1:.1%}'}"
+                f" | {phase['spread']:.1%} | {told or '-'} |"
+            )
+
+
+def _not_run(results: Results) -> list[str]:
+    done = {(run["service"], run["case"], run["policy"]) for run in results["runs"]}
+    lines = []
+    for shape in shapes(1):
+        for case in CASES:
+            missing = [
+                policy.name
+                for policy in POLICIES
+                if (shape.title, case.name, policy.name) not in done
+            ]
+            if missing:
+                lines.append(f"{shape.title}, {case.name}: {', '.join(missing)}")
+    return lines
--- a/tools/recording.py
+++ b/tools/recording.py
@@ -88,7 +88,10 @@
 
 
 class PhaseReport(TypedDict):
-    """The outcome of one phase; `spread` is (most - fewest) / mean over members."""
+    """The outcome of one phase.
+
+    `spread` is (largest - smallest) / mean over the members' answers per request.
+    """
 
     rate: float
     seconds: float
@@ -137,11 +140,12 @@
         self._not_run = 0
         self._lost: Counter[str] = Counter()
         self._members: Counter[str] = Counter({member: 0 for member in members})
+        self._asked_by: Counter[str] = Counter()
         self._sub_requests: dict[str, float] = {}
 
     def answer(self, member: str, latency: timedelta, coverage: Any) -> None:
         """Count an answer with its coverage as ``shards`` and ``included``."""
-        self._asked += 1
+        self._ask(member)
         self._latencies.add(latency)
         self._in_time += latency <= self._deadline
         self._members[member] += 1
@@ -149,18 +153,22 @@
         self._coverage += len(coverage["included"]) / coverage["shards"]
         self._whole += len(coverage["included"]) == coverage["shards"]
 
-    def refuse(self, code: str, not_run: bool) -> None:
+    def refuse(self, member: str, code: str, not_run: bool) -> None:
         """Count a request that was refused with an error code."""
-        self._asked += 1
+        self._ask(member)
         self._refused[code] += 1
         self._not_run += not_run
 
-    def lose(self, reason: str, latency: timedelta) -> None:
+    def lose(self, member: str, reason: str, latency: timedelta) -> None:
         """Count a request that got no response."""
-        self._asked += 1
+        self._ask(member)
         self._lost[reason] += 1
         self._latencies.add(latency)
 
+    def _ask(self, member: str) -> None:
+        self._asked += 1
+        self._asked_by[member] += 1
+
     def count_sub_requests(self, by_kind: dict[str, float]) -> None:
         """Set the sub-requests that were sent during the phase."""
         self._sub_requests = by_kind
@@ -186,18 +194,20 @@
             refused_not_run=self._not_run,
             lost=dict(self._lost),
             members=dict(self._members),
-            spread=spread(list(self._members.values())),
+            spread=spread(
+                [self._members[name] / asked for name, asked in self._asked_by.items()]
+            ),
             sub_requests=self._sub_requests,
             sub_requests_over_least=round(sent / least, 4) if sent and least else None,
         )
 
 
-def spread(counts: Sequence[int]) -> float:
-    """Return (most - fewest) / mean, or 0 without any."""
-    total = sum(counts)
+def spread(shares: Sequence[float]) -> float:
+    """Return (largest - smallest) / mean, or 0 without any."""
+    total = sum(shares)
     if not total:
         return 0.0
-    return round((max(counts) - min(counts)) * len(counts) / total, 4)
+    return round((max(shares) - min(shares)) * len(shares) / total, 4)
 
 
 def table(reports: Sequence[PhaseReport]) -> str:
