Measure slopes of control, memory and CPU

Cause: the capacity page needs costs against sizes, measured by one command. Change: tools/slopes.py measures control traffic, memory, messages, queries and sub-requests, fits a line to each and stores points, fit and command.

--- /dev/null
+++ b/tools/counted_entry.py
@@ -0,0 +1,51 @@
+"""An entry instance that counts the messages and bytes between instances.
+
+The counters appear in its ``/metrics``. With ``--profile FILE`` first, it writes a
+cProfile of its whole run to FILE when it ends.
+"""
+
+from collections.abc import Sequence
+from cProfile import Profile
+from sys import argv, exit
+from time import process_time
+from typing import Any
+
+from prometheus_client import Counter
+
+from lovagetray import main
+from lovagetray.wire import _peers, decode_envelope, encode_envelope
+
+_bytes_total = Counter("tool_peer_bytes", "Bytes of frames", ["direction", "kind"])
+_messages_total = Counter("tool_peer_messages", "Messages", ["direction", "kind"])
+
+
+def _count(direction: str, frames: Sequence[bytes]) -> None:
+    kind = frames[1].decode("ascii", "replace") if len(frames) == 3 else "malformed"
+    _bytes_total.labels(direction, kind).inc(sum(len(frame) for frame in frames))
+    _messages_total.labels(direction, kind).inc()
+
+
+def _encode(envelope: Any) -> list[bytes]:
+    frames = encode_envelope(envelope)
+    _count("sent", frames)
+    return frames
+
+
+def _decode(frames: Sequence[bytes]) -> Any:
+    _count("received", frames)
+    return decode_envelope(frames)
+
+
+def _run() -> int:
+    setattr(_peers, "encode_envelope", _encode)
+    setattr(_peers, "decode_envelope", _decode)
+    if argv[1] != "--profile":
+        return main(argv[1:])
+    profile = Profile(process_time)
+    code = profile.runcall(main, argv[3:])
+    profile.dump_stats(argv[2])
+    return code
+
+
+if __name__ == "__main__":
+    exit(_run())
--- a/tools/measurement_page.py
+++ b/tools/measurement_page.py
@@ -77,13 +77,12 @@
 def plot(results: Results, file: Path) -> None:
     """Draw latency against load for each policy."""
     figure, axes = pyplot.subplots(figsize=(8, 5))
-    for run in results["sweep"]:
+    for number, run in enumerate(results["sweep"]):
         loads = [phase["rate"] / run["capacity"] for phase in run["phases"]]
         for name, style in (("p50", "--"), ("p99", "-")):
             values = [phase["latency_ms"][name] for phase in run["phases"]]
-            axes.plot(
-                loads, values, style, marker="o", label=f"{run['policy']}, {name}"
-            )
+            label = f"{run['policy']}, {name}"
+            axes.plot(loads, values, style, color=f"C{number}", label=label)
     axes.axhline(_P99_MS, color="grey", linewidth=0.8)
     axes.set_xlabel("load as a share of the capacity of all slots")
     axes.set_ylabel("latency from the planned send time, ms")
@@ -185,16 +184,16 @@
     yield "# Measurements"
     yield ""
     if not applied:
-        yield "**Trial page: no policy was in force, so the figures only show the tools.**"
+        yield "**Trial page: no policy was in force, the figures only show the tools.**"
         yield ""
     yield f"Written by `{results['command']}`"
-    yield f"on {results['date']}, seed {results['seed']}, from the `results.json` of that"
-    yield f"run: {results['entries']} entry instances on {results['cores']} cores of one"
+    yield f"on {results['date']}, seed {results['seed']}, from its `results.json`:"
+    yield f"{results['entries']} entry instances on {results['cores']} cores of one"
     yield f"machine, load average {results['machine_load']} at the start. Targets are"
     yield f"stand-ins that share processes; their work ({results['work_ms']:.0f} ms on"
-    yield "average, a fifth of it exponential) is sleep. Loopback adds no delay between data"
-    yield "centres. Latency runs from the planned send time. A condition begins together"
-    yield "with the measured phase, so that its onset is part of the figures."
+    yield "average, a fifth of it exponential) is sleep. Loopback adds no delay between"
+    yield "data centres. Latency runs from the planned send time. A condition begins"
+    yield "together with the measured phase, so that its onset is part of the figures."
     for service in dict.fromkeys(run["service"] for run in results["runs"]):
         yield from _service(results, service)
     if results["sweep"]:
@@ -225,8 +224,9 @@
 
 def _table(runs: Sequence[Run]) -> Iterator[str]:
     yield (
-        "| Case | Policy | Asked/s | Answered/s | In time/s | p50 ms | p99 ms | p99.9 ms"
-        " | Coverage | Whole | Extra | Spread | Refused, lost |"
+        "| Case | Policy | Asked/s | Answered/s | In time/s"
+        " | p50 ms | p99 ms | p99.9 ms | Coverage | Whole | Extra | Spread"
+        " | Refused, lost |"
     )
     yield "|---|---|" + "---:|" * 10 + "---|"
     for run in runs:
--- /dev/null
+++ b/tools/slopes.py
@@ -0,0 +1,79 @@
+"""Measures how costs grow with sizes and stores the slopes as JSON.
+
+Each subcommand measures some slopes; ``all`` runs every one in turn. The sizes can be
+given; a size that the machine cannot carry is left out and the range says so.
+"""
+
+from argparse import ArgumentDefaultsHelpFormatter, ArgumentParser, Namespace
+from collections.abc import Callable
+from pathlib import Path
+
+from slope import Slope, store_slopes
+from slopes_in_process import cpu_fan_out, memory_replica, messages
+from slopes_of_processes import (
+    control_instances,
+    control_targets,
+    cpu_connections,
+    cpu_sub_request,
+    memory_connection,
+)
+
+Measure = Callable[[Namespace], list[Slope]]
+
+
+def settings_change(arguments: Namespace) -> list[Slope]:
+    """Return the cost of a settings change against the size of the tree.
+
+    The tree is not part of an instance yet, so there is nothing to measure; the slopes
+    `cpu_settings_change` and `bytes_settings_change` stay absent, and the capacity page
+    says so in each line that needs them.
+    """
+    print("settings-change: not measured, the settings tree is not in force yet")
+    return []
+
+
+_MEASURES: dict[str, Measure] = {
+    "control-instances": control_instances,
+    "control-targets": control_targets,
+    "memory-replica": memory_replica,
+    "memory-connection": memory_connection,
+    "cpu-fan-out": cpu_fan_out,
+    "cpu-connections": cpu_connections,
+    "cpu-sub-request": cpu_sub_request,
+    "messages": messages,
+    "settings-change": settings_change,
+}
+
+
+def _run_all(arguments: Namespace) -> list[Slope]:
+    return [one for measure in _MEASURES.values() for one in measure(arguments)]
+
+
+def main() -> None:
+    """Measure, print and store slopes."""
+    parser = ArgumentParser(
+        description=__doc__, formatter_class=ArgumentDefaultsHelpFormatter
+    )
+    parser.add_argument("--store", type=Path, help="JSON file to update")
+    parser.add_argument("--seconds", type=float, default=5, help="of a point")
+    subparsers = parser.add_subparsers(required=True, metavar="measurement")
+    for name, measure in {**_MEASURES, "all": _run_all}.items():
+        text = (measure.__doc__ or "Run every measurement.").splitlines()[0]
+        subparser = subparsers.add_parser(name, help=text)
+        subparser.add_argument("--sizes", type=int, nargs="*", default=[])
+        subparser.set_defaults(measure=measure)
+    arguments = parser.parse_args()
+    slopes = arguments.measure(arguments)
+    for slope in slopes:
+        print(
+            f"{slope['name']}: {slope['slope']} {slope['cost']} for each of"
+            f" {slope['size']}, intercept {slope['intercept']}, residual"
+            f" {slope['residual']:.1%}, sizes {slope['smallest']:g} to"
+            f" {slope['largest']:g}"
+        )
+    if arguments.store:
+        store_slopes(arguments.store, slopes)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/slopes_of_processes.py
@@ -0,0 +1,271 @@
+"""Slopes measured on running entry instances and target stand-ins."""
+
+from argparse import Namespace
+from collections.abc import Callable
+from contextlib import contextmanager
+from datetime import timedelta
+from os import sysconf
+from pathlib import Path
+from signal import SIGTERM
+from socket import create_connection
+from subprocess import Popen
+from sys import executable
+from tempfile import TemporaryDirectory
+from time import monotonic, sleep
+from typing import Iterator, NamedTuple
+from urllib.request import urlopen
+
+from bare_client import bare_cost, bare_profile, package_times
+from curio import run
+from fleet import EntryProcess, Fleet, free_ports
+from prometheus_client.parser import text_string_to_metric_families
+from slope import Slope, make_slope
+
+from lovagetray import Address, SystemClock
+from lovagetray.wire import HttpConnection
+
+_SERVICE = "kallioniemi/invoices"
+_HERE = Path(__file__).parent
+_TICKS = sysconf("SC_CLK_TCK")
+_SETTLE_SECONDS = 3.0
+_LIMIT = timedelta(seconds=10)
+_SEARCH = (
+    b'{"service":"kallioniemi/invoices","terms":"wedding","limit":5,'
+    b'"deadline_ms":9000}'
+)
+_QUERIES = (50, 100, 200)
+
+
+class _Sample(NamedTuple):
+    at: float
+    cpu: float
+    bytes: float
+
+
+def _cpu(process: Popen[bytes]) -> float:
+    fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS
+
+
+def _resident(process: Popen[bytes]) -> float:
+    for line in Path(f"/proc/{process.pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return float(line.split()[1]) * 1024
+    return 0.0
+
+
+def _peer_bytes(entry: EntryProcess) -> float:
+    with urlopen(f"http://127.0.0.1:{entry.http_port}/metrics", timeout=5) as response:
+        text = response.read().decode()
+    return sum(
+        sample.value
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+        if sample.name == "tool_peer_bytes_total"
+    )
+
+
+def _sample(entry: EntryProcess) -> _Sample:
+    return _Sample(monotonic(), _cpu(entry.process), _peer_bytes(entry))
+
+
+@contextmanager
+def _fleet(instances: int, *options: str) -> Iterator[Fleet]:
+    program = [executable, str(_HERE / "counted_entry.py"), *options]
+    with TemporaryDirectory() as folder, Fleet(Path(folder), program) as fleet:
+        fleet.start_entries(instances)
+        yield fleet
+
+
+@contextmanager
+def _targets(fleet: Fleet, shards: int) -> Iterator[list[Address]]:
+    """Run one target for each shard in one process; yield their addresses."""
+    port = free_ports(1)[0]
+    command = [executable, str(_HERE / "target_host.py"), "--service", _SERVICE]
+    command += ["--control-port", str(port), "--shards", str(shards)]
+    command += ["--delay", "0", "--records", str(5 * shards)]
+    for entry in fleet.entries:
+        command += ["--entry", f"127.0.0.1:{entry.http_port}"]
+    process = Popen(command)
+    try:
+        fleet.wait_until(lambda: _usable(fleet) >= shards, 60)
+        told = fleet.post(port, "/control", {})
+        yield [Address("127.0.0.1", one["port"]) for one in told.values()]
+    finally:
+        process.terminate()
+        process.wait()
+
+
+def _usable(fleet: Fleet) -> int:
+    return min(
+        int(fleet.status(entry)["services"].get(_SERVICE, {}).get("usable", 0))
+        for entry in fleet.entries
+    )
+
+
+class _Rates(NamedTuple):
+    """Means over instances of bytes and CPU microseconds each second, and memory."""
+
+    bytes: float
+    cpu: float
+    memory: float
+
+
+def _rates(fleet: Fleet, seconds: float) -> _Rates:
+    sleep(_SETTLE_SECONDS)
+    before = [_sample(entry) for entry in fleet.entries]
+    sleep(seconds)
+    after = [_sample(entry) for entry in fleet.entries]
+    count = len(fleet.entries)
+    pairs = list(zip(before, after))
+    return _Rates(
+        sum((new.bytes - old.bytes) / (new.at - old.at) for old, new in pairs) / count,
+        sum((new.cpu - old.cpu) / (new.at - old.at) for old, new in pairs)
+        / count
+        * 1e6,
+        sum(_resident(entry.process) for entry in fleet.entries) / count,
+    )
+
+
+def _control_slopes(name: str, size: str, rates: dict[int, _Rates]) -> list[Slope]:
+    def points(value: Callable[[_Rates], float]) -> list[tuple[float, float]]:
+        return [(float(count), value(rate)) for count, rate in rates.items()]
+
+    note = "frames between instances, sent and received; no headers of ZMTP and TCP"
+    octets = points(lambda rate: rate.bytes)
+    cpu = points(lambda rate: rate.cpu)
+    memory = points(lambda rate: rate.memory)
+    return [
+        make_slope(f"control_bytes_per_{name}", "bytes/s a node", size, octets, note),
+        make_slope(
+            f"control_cpu_per_{name}", "CPU us/s a node", size, cpu, "idle instances"
+        ),
+        make_slope(
+            f"memory_per_{name}", "bytes a node", size, memory, "resident memory"
+        ),
+    ]
+
+
+def control_instances(arguments: Namespace) -> list[Slope]:
+    """Return the control traffic and CPU of an instance against their number."""
+    rates = {}
+    for count in arguments.sizes or (3, 10, 30):
+        with _fleet(count) as fleet:
+            rates[count] = _rates(fleet, arguments.seconds)
+    return _control_slopes("instance", "instances", rates)
+
+
+def control_targets(arguments: Namespace) -> list[Slope]:
+    """Return the control traffic and CPU of an instance against announced targets."""
+    rates = {}
+    for count in arguments.sizes or (10, 30, 100, 300):
+        with _fleet(3) as fleet, _targets(fleet, count):
+            rates[count] = _rates(fleet, arguments.seconds)
+    return _control_slopes("target", "targets announced to 3 instances", rates)
+
+
+def memory_connection(arguments: Namespace) -> list[Slope]:
+    """Return the memory of an instance against open connections of callers."""
+    points = []
+    with _fleet(1) as fleet:
+        entry = fleet.entries[0]
+        opened = []
+        for count in arguments.sizes or (10, 100, 300, 1_000):
+            while len(opened) < count:
+                connection = create_connection(("127.0.0.1", entry.http_port))
+                connection.sendall(b"GET /healthz HTTP/1.1\r\nhost: entry\r\n\r\n")
+                connection.recv(4096)
+                opened.append(connection)
+            sleep(0.5)
+            points.append((float(count), _resident(entry.process)))
+        for connection in opened:
+            connection.close()
+    note = (
+        "resident memory after one request on each; the kernel's buffers not included"
+    )
+    name = "memory_per_open_connection"
+    return [make_slope(name, "bytes", "open connections", points, note)]
+
+
+def cpu_connections(arguments: Namespace) -> list[Slope]:
+    """Return the CPU of an instance for a query against fan-out, over connections."""
+    points = []
+    for shards in arguments.sizes or (10, 30, 100):
+        with _fleet(1) as fleet, _targets(fleet, shards):
+            cost = _cost_of_queries(fleet, 100)
+            points.append((float(shards), cost / 100 * 1e6))
+    note = "one instance that owns all replicas, one caller; idle CPU subtracted"
+    name = "cpu_per_query_over_connections"
+    return [make_slope(name, "CPU us", "shards of the query", points, note)]
+
+
+def cpu_sub_request(arguments: Namespace) -> list[Slope]:
+    """Return the CPU of a sub-request beside that of a bare h11 loop."""
+    shards = 10
+    own, forwarded, bare = [], [], []
+    with _fleet(1) as fleet, _targets(fleet, shards) as addresses:
+        for queries in arguments.sizes or _QUERIES:
+            sub_requests = float(queries * shards)
+            own.append((sub_requests, _cost_of_queries(fleet, queries) * 1e6))
+            bare.append((sub_requests, bare_cost(addresses, queries, shards) * 1e6))
+        bare_packages = bare_profile(addresses, 300, shards)
+    with _fleet(3) as fleet, _targets(fleet, shards):
+        for queries in arguments.sizes or _QUERIES:
+            cost = _cost_of_queries(fleet, queries) * 1e6
+            forwarded.append((float(queries * shards), cost))
+    size = "sub-requests"
+    note = f"queries over {shards} shards, one caller, idle CPU subtracted"
+    slopes = [
+        make_slope("cpu_per_sub_request_entry", "CPU us", size, own, note),
+        make_slope("cpu_per_sub_request_bare", "CPU us", size, bare, "h11 on sockets"),
+        make_slope(
+            "cpu_per_sub_request_forwarded",
+            "CPU us",
+            size,
+            forwarded,
+            f"{note}; sum over 3 instances that own a third of the replicas each",
+        ),
+    ]
+    slopes[0]["profile"] = {
+        "entry": _entry_profile(shards, 300),
+        "bare": bare_packages,
+    }
+    return slopes
+
+
+def _cost_of_queries(fleet: Fleet, queries: int) -> float:
+    """Return the CPU seconds of all instances for queries, without their idle CPU."""
+    run(_send_queries, fleet, 10)
+    begun = monotonic()
+    idle = sum(_cpu(entry.process) for entry in fleet.entries)
+    sleep(1.0)
+    idle = sum(_cpu(entry.process) for entry in fleet.entries) - idle
+    idle /= monotonic() - begun
+    begun = monotonic()
+    used = sum(_cpu(entry.process) for entry in fleet.entries)
+    run(_send_queries, fleet, queries)
+    used = sum(_cpu(entry.process) for entry in fleet.entries) - used
+    return used - idle * (monotonic() - begun)
+
+
+async def _send_queries(fleet: Fleet, queries: int) -> None:
+    address = Address("127.0.0.1", fleet.entries[0].http_port)
+    opened = await HttpConnection.open("entry", address, SystemClock(), _LIMIT)
+    for _ in range(queries):
+        reply = await opened.ok.exchange("POST", "/v1/search", {}, _SEARCH, _LIMIT)
+        assert b'"complete":true' in reply.ok.body, reply.ok.body
+    await opened.ok.close()
+
+
+def _entry_profile(shards: int, queries: int) -> dict[str, float]:
+    """Return the CPU us of a sub-request in each package, under cProfile."""
+    with TemporaryDirectory() as folder:
+        file = Path(folder) / "entry.profile"
+        with _fleet(1, "--profile", str(file)) as fleet, _targets(fleet, shards):
+            run(_send_queries, fleet, queries)
+            process = fleet.entries[0].process
+            process.send_signal(SIGTERM)
+            sleep(0.5)
+            process.send_signal(SIGTERM)
+            process.wait(20)
+        return package_times(file, queries * shards)
--- a/tools/target.py
+++ b/tools/target.py
@@ -80,6 +80,7 @@
         self._fault = arguments.fault
         self._executed: list[str] = []
         self._received = 0
+        self._port = 0
         self._frozen_reports: tuple[int, int] | None = None
         self._entries: list[Address] = list(arguments.entry)
         self._clock = SystemClock()
@@ -138,6 +139,7 @@
             "executed": self._executed,
             "in_flight": self._in_flight,
             "received": self._received,
+            "port": self._port,
         }
 
     async def _search(self, request: HttpRequest) -> HttpResponse:
