--- a/features/environment.py
+++ b/features/environment.py
@@ -9,6 +9,7 @@
 from behave.runner import Context
 
 path.insert(0, str(Path(__file__).parent.parent / "tools"))
+path.insert(0, str(Path(__file__).parent))
 
 
 def before_scenario(context: Context, scenario: Scenario) -> None:
--- a/tools/load.py
+++ b/tools/load.py
@@ -5,7 +5,7 @@
 """
 
 from argparse import ArgumentDefaultsHelpFormatter, ArgumentParser, ArgumentTypeError
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from pathlib import Path
 from typing import Any, NamedTuple, NotRequired, TypedDict
@@ -86,10 +86,22 @@
 
 
 class LoadRun:
-    """One run of a plan: one task plans, one task for each caller sends."""
+    """One run of a plan: one task plans, one task for each caller sends.
 
-    def __init__(self, plan: LoadPlan, clock: Clock) -> None:
+    Parameters
+    ----------
+    make_caller
+        Returns the caller of a name and a data centre.
+    """
+
+    def __init__(
+        self,
+        plan: LoadPlan,
+        clock: Clock,
+        make_caller: Callable[[str, str], Caller] | None = None,
+    ) -> None:
         self._plan = plan
+        self._make_caller = make_caller or self._follow_addresses
         self._clock = clock
         self._queues = {member: Queue() for member in plan.members}
 
@@ -101,7 +113,7 @@
                 member = plan.members[number % len(plan.members)]
                 data_centre = plan.data_centres[number % len(plan.data_centres)]
                 name = f"{member}-{number}"
-                caller = Caller(plan.entries, name, data_centre, self._clock)
+                caller = self._make_caller(name, data_centre)
                 await group.spawn(self._serve, caller, member)
             if plan.warm_up:
                 await self._send(
@@ -109,6 +121,9 @@
                 )
             return await self._measure(group)
 
+    def _follow_addresses(self, name: str, data_centre: str) -> Caller:
+        return Caller(self._plan.entries, name, data_centre, self._clock)
+
     async def _measure(self, group: TaskGroup) -> list[PhaseReport]:
         """Send the phases without a pause; in-flight requests cross the boundary.
 
--- a/tools/measure_policies.py
+++ b/tools/measure_policies.py
@@ -85,6 +85,7 @@
     ) -> Run:
         applied = select_policy(self._fleet, self._shape.service, policy)
         sleep(_SETTLE_SECONDS)
+        idle, all_time = _cpu_times()
         with TemporaryDirectory() as folder:
             output = Path(folder) / "load.json"
             command = self._command(case, phases, output)
@@ -96,12 +97,15 @@
                     print(process.stdout.read(), end="", flush=True)
                     process.wait()
             measured = decode(output.read_bytes())["phases"]
+        idle_now, all_now = _cpu_times()
+        busy = round(1 - (idle_now - idle) / (all_now - all_time), 3)
         return Run(
             service=self._shape.title,
             capacity=self._capacity,
             case=case.name,
             policy=policy.name,
             applied=applied,
+            busy=busy,
             phases=measured,
         )
 
@@ -127,6 +131,13 @@
         return command
 
 
+def _cpu_times() -> tuple[float, float]:
+    """Return the idle time and all time of all cores since the machine started."""
+    with open("/proc/stat", encoding="ascii") as file:
+        times = [float(field) for field in file.readline().split()[1:9]]
+    return times[3] + times[4], sum(times)
+
+
 def measure(arguments: Namespace) -> Results:
     """Return the results of all chosen runs."""
     policies = [one for one in POLICIES if one.name in arguments.policies]
@@ -184,7 +195,7 @@
     parser.add_argument("--work", type=float, default=80, help="mean of a target, ms")
     parser.add_argument("--scale", type=float, default=1, help="factor on all loads")
     parser.add_argument("--entries", type=int, default=9)
-    parser.add_argument("--hosts", type=int, default=2, help="processes of stand-ins")
+    parser.add_argument("--hosts", type=int, default=4, help="processes of stand-ins")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--page", type=Path, help="write the page to this file")
     parser.add_argument(
--- a/tools/measurement_page.py
+++ b/tools/measurement_page.py
@@ -30,13 +30,18 @@
 
 
 class Run(TypedDict):
-    """One case with one policy; `applied` tells whether the policy was in force."""
+    """One case with one policy.
+
+    `applied` tells whether the policy was in force, `busy` which share of all cores
+    worked during the run: near 1, the figures are those of the machine.
+    """
 
     service: str
     capacity: float
     case: str
     policy: str
     applied: bool
+    busy: float
     phases: list[PhaseReport]
 
 
@@ -225,10 +230,10 @@
 def _table(runs: Sequence[Run]) -> Iterator[str]:
     yield (
         "| Case | Policy | Asked/s | Answered/s | In time/s"
-        " | p50 ms | p99 ms | p99.9 ms | Coverage | Whole | Extra | Spread"
+        " | p50 ms | p99 ms | p99.9 ms | Coverage | Whole | Extra | Spread | Cores busy"
         " | Refused, lost |"
     )
-    yield "|---|---|" + "---:|" * 10 + "---|"
+    yield "|---|---|" + "---:|" * 11 + "---|"
     for run in runs:
         for phase in run["phases"]:
             latency = phase["latency_ms"]
@@ -242,7 +247,7 @@
                 f" | {latency['p99']:.0f} | {latency['p999']:.0f}"
                 f" | {phase['mean_coverage']:.4f} | {phase['whole_share']:.4f}"
                 f" | {'-' if over is None else f'{over - 1:.1%}'}"
-                f" | {phase['spread']:.1%} | {told or '-'} |"
+                f" | {phase['spread']:.1%} | {run['busy']:.0%} | {told or '-'} |"
             )
 
 
--- a/tools/slope.py
+++ b/tools/slope.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from datetime import datetime, timezone
 from math import sqrt
+from os import getloadavg
 from pathlib import Path
 from shlex import join
 from sys import argv
@@ -16,7 +17,8 @@
 
     `residual` is the root mean square of the distance between points and line, as a
     share of the mean cost: above 0.1 the line does not describe the points, and a size
-    beyond the largest measured one is an extrapolation in any case.
+    beyond the largest measured one is an extrapolation in any case. `machine_load` is
+    the load average after the measurement.
     """
 
     name: str
@@ -30,6 +32,7 @@
     largest: float
     command: str
     date: str
+    machine_load: float
     note: str
     profile: NotRequired[dict[str, dict[str, float]]]
 
@@ -73,6 +76,7 @@
         largest=max(sizes),
         command=join(["python", "tools/slopes.py", *argv[1:]]),
         date=f"{datetime.now(timezone.utc):%Y-%m-%d}",
+        machine_load=round(getloadavg()[0], 1),
         note=note,
     )
 
