--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -13,6 +13,7 @@
 from slope import Slope, read_slopes
 
 _DOCS = Path(__file__).parent.parent / "docs"
+_LEAST_PROFILED_US = 1.0
 _ROLES = (*DATA_ROLES, *CONTROL_ROLES, *NODE_ROLES)
 _BLOCK = compile_pattern(r"<!-- table:([a-z-]+) -->\n.*?<!-- end -->", DOTALL)
 
@@ -26,6 +27,7 @@
     sizes = Sizes()
     tables = {role.name: table(role.lines(Costs(slopes), sizes)) for role in _ROLES}
     tables["slopes"] = _slope_table(slopes)
+    tables["profile"] = _profile_table(slopes)
     tables["unfit"] = _unfit_table(slopes, sizes)
 
     def replace(found: Match[str]) -> str:
@@ -54,6 +56,17 @@
     return rows
 
 
+def _profile_table(slopes: Mapping[str, Slope]) -> list[str]:
+    profile = slopes.get("cpu_per_sub_request_entry", {}).get("profile", {})
+    entry, bare = profile.get("entry", {}), profile.get("bare", {})
+    rows = ["| Package | Entry us | Bare us | Difference us |", "|---|---:|---:|---:|"]
+    for package in sorted({*entry, *bare}, key=lambda name: -entry.get(name, 0.0)):
+        ours, theirs = entry.get(package, 0.0), bare.get(package, 0.0)
+        if max(ours, theirs) >= _LEAST_PROFILED_US:
+            rows.append(f"| {package} | {ours} | {theirs} | {ours - theirs:.1f} |")
+    return rows
+
+
 def _unfit_table(slopes: Mapping[str, Slope], sizes: Sizes) -> list[str]:
     rows = ["| Role | What | Result | Limit | Proposed |", "|---|---|---:|---:|---|"]
     for role in _ROLES:
--- a/tools/capacity_model.py
+++ b/tools/capacity_model.py
@@ -78,12 +78,17 @@
         cores(
             "all exchanges, entry of today",
             entry,
-            "does not fit: one HTTP exchange for each sub-request is too dear",
+            "one HTTP exchange for each sub-request is too dear",
+        ),
+        cores(
+            "the same with the hop to the owner, both instances",
+            costs.each("cpu_per_sub_request_forwarded"),
+            "one message for all sub-requests to an owner; merged partial results",
         ),
         cores(
             "all exchanges, bare h11",
             bare,
-            "does not fit either: no change of lovagetray alone suffices",
+            "the floor for one HTTP exchange each with Python and h11",
         ),
         cores(
             "all sub-requests, encoding and decoding of batches alone",
@@ -213,7 +218,6 @@
 def directory_of_owner(costs: Costs, sizes: Sizes) -> list[Line]:
     """Return what an aggregator takes to know its replicas."""
     known = costs.each("memory_per_known_replica")
-    posted = costs.of("cpu_posted_announcement", sizes.batch)
     return [
         Line(
             "own replicas in the directory",
@@ -236,6 +240,27 @@
             sizes.memory,
             "not needed: announcements stay in their region",
         ),
+        Line(
+            "all replicas of the region, resident memory of today's instance",
+            costs.of("memory_per_target", sizes.region_replicas),
+            "B",
+            sizes.memory,
+            "includes messages on their way and the memory of the process at its start",
+        ),
+        Line(
+            "all replicas of all regions, resident memory of today's instance",
+            costs.of("memory_per_target", sizes.replicas),
+            "B",
+            sizes.memory,
+            "not needed: announcements stay in their region",
+        ),
+    ]
+
+
+def announcements_of_owner(costs: Costs, sizes: Sizes) -> list[Line]:
+    """Return what an aggregator takes to hear from its replicas."""
+    posted = costs.of("cpu_posted_announcement", sizes.batch)
+    return [
         Line(
             "announcements of its own replicas, each second",
             posted,
@@ -271,6 +296,8 @@
     Role("total", "The sum", (total, cores_in_all)),
     Role("entry", "Entry", (entry, entry_fan_out)),
     Role(
-        "aggregator", "Aggregator (owner of replicas)", (aggregator, directory_of_owner)
+        "aggregator",
+        "Aggregator (owner of replicas)",
+        (aggregator, directory_of_owner, announcements_of_owner),
     ),
 )
--- a/tools/capacity_of_control.py
+++ b/tools/capacity_of_control.py
@@ -60,22 +60,31 @@
 def region_voter(costs: Costs, sizes: Sizes) -> list[Line]:
     """Return what a voter of a region takes."""
     beat = costs.each("cpu_heartbeat")
+    link = costs.each("control_cpu_per_instance")
     octets = costs.each("bytes_heartbeat")
     region = sizes.region_nodes
+    shared = 2 * region / sizes.region_voters
     turns = 2 * (sizes.restarts_a_day + sizes.failures_a_day) / DAY_SECONDS
     turns /= sizes.regions
     joins = sizes.restarts_a_day / DAY_SECONDS / sizes.regions
     return [
         Line(
-            "heartbeats with the nodes of the region, both ways, each second",
-            beat.times(2 * region, f"2 × {short(region)}").cores(),
+            "links to all nodes of the region, at the cost of today's links",
+            link.times(region, short(region)).cores(),
             "cores",
             ONE_CORE,
-            "every node keeps a link to each of the region's voters",
+            "each node keeps a link to one voter and a spare one, not to all five",
         ),
         Line(
-            "bytes of the same",
-            octets.times(2 * region, f"2 × {short(region)}"),
+            "links to two fifths of the nodes of the region",
+            link.times(shared, short(shared)).cores(),
+            "cores",
+            ONE_CORE,
+            "a link and a spare one for each node",
+        ),
+        Line(
+            "heartbeats on them, both ways, each second",
+            octets.times(2 * shared, f"2 × {short(shared)}"),
             "B/s",
             None,
             "an instance set aside has no limit of its own in section 1.4",
@@ -144,14 +153,14 @@
 
 def voter_as_relay(costs: Costs, sizes: Sizes) -> list[Line]:
     """Return what a region voter takes as a relay of settings changes."""
-    cpu = costs.each("cpu_heartbeat")
+    link = costs.each("control_cpu_per_instance")
     aside = sizes.regions * sizes.region_voters
     children = sizes.nodes / aside
     changes = sizes.changes_a_day / DAY_SECONDS
     return [
         Line(
-            f"heartbeats of one of {aside} region voters as relay",
-            cpu.times(2 * children, f"2 × {short(children)}").cores(),
+            f"links of one of {aside} region voters as relay",
+            link.times(children, short(children)).cores(),
             "cores",
             ONE_CORE,
             f"{sizes.voters} → {aside} → {short(sizes.nodes)} in two hops",
--- a/tools/capacity_of_nodes.py
+++ b/tools/capacity_of_nodes.py
@@ -65,8 +65,8 @@
             "star",
         ),
         Line(
-            "CPU of the same",
-            costs.each("cpu_heartbeat").times(2 * voters, f"2 × {voters}"),
+            "CPU of the same, at the cost of today's links",
+            costs.each("control_cpu_per_instance").times(voters, str(voters)),
             "us/s",
             sizes.cpu,
             "star",
@@ -171,6 +171,20 @@
             sizes.octets,
             "to its owner; a leaving notice to two instances",
         ),
+        Line(
+            "relay and digests of today, all replicas of the region",
+            costs.of("control_bytes_per_target", region),
+            "B/s",
+            sizes.octets,
+            "measured with 3 instances; each further peer adds digests",
+        ),
+        Line(
+            "CPU of the same",
+            costs.of("control_cpu_per_target", region),
+            "us/s",
+            sizes.cpu,
+            "the same",
+        ),
         Line(
             "load reports of all replicas to every node, each second",
             relayed.times(sizes.replicas, short(sizes.replicas)),
--- a/tools/load.py
+++ b/tools/load.py
@@ -63,6 +63,8 @@
         Time at the rate of the first phase that is not recorded.
     count_targets
         Control addresses of target hosts, read if instances count no sub-requests.
+    tell_start
+        Whether to print a line when the warm-up is over.
     """
 
     service: str
@@ -77,6 +79,7 @@
     warm_up: timedelta
     seed: int
     count_targets: Sequence[Address] = ()
+    tell_start: bool = False
 
 
 class _Request(NamedTuple):
@@ -131,7 +134,8 @@
         them belong to requests of the phase before.
         """
         counts = [await group.spawn(read_sub_requests, self._plan, self._clock)]
-        print(MEASURING, flush=True)
+        if self._plan.tell_start:
+            print(MEASURING, flush=True)
         records = []
         for number, phase in enumerate(self._plan.phases):
             records.append(await self._send(phase, self._plan.seed + number))
@@ -311,6 +315,7 @@
         warm_up=timedelta(seconds=arguments.warm_up),
         seed=arguments.seed,
         count_targets=arguments.count_targets,
+        tell_start=True,
     )
     reports = run(LoadRun(plan, SystemClock()).run)
     document: dict[str, Any] = {"seed": plan.seed, "phases": reports}
