--- a/tools/capacity_model.py
+++ b/tools/capacity_model.py
@@ -284,10 +284,12 @@
         ),
         Line(
             "connections to replicas",
-            costs.each("memory_per_target_connection"),
+            costs.each("memory_per_target_connection").times(
+                sizes.batch * _TODAY_SLOTS, f"{sizes.batch} × {_TODAY_SLOTS} slots"
+            ),
             "B",
             sizes.memory,
-            "slope of the client side is not measured",
+            "one connection for each slot",
         ),
     ]
 
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -16,6 +16,7 @@
     cpu_connections,
     cpu_sub_request,
     memory_connection,
+    memory_target_connection,
 )
 
 Measure = Callable[[Namespace], list[Slope]]
@@ -37,6 +38,7 @@
     "control-targets": control_targets,
     "memory-replica": memory_replica,
     "memory-connection": memory_connection,
+    "memory-target-connection": memory_target_connection,
     "cpu-fan-out": cpu_fan_out,
     "cpu-connections": cpu_connections,
     "cpu-sub-request": cpu_sub_request,
--- a/tools/slopes_of_processes.py
+++ b/tools/slopes_of_processes.py
@@ -12,6 +12,7 @@
 from sys import executable
 from tempfile import TemporaryDirectory
 from time import monotonic, sleep
+from tracemalloc import get_traced_memory, start, stop
 from typing import Iterator, NamedTuple
 from urllib.request import urlopen
 
@@ -78,12 +79,15 @@
 
 
 @contextmanager
-def _targets(fleet: Fleet, shards: int) -> Iterator[list[Address]]:
+def _targets(
+    fleet: Fleet, shards: int, connections: int = 40
+) -> Iterator[list[Address]]:
     """Run one target for each shard in one process; yield their addresses."""
     port = free_ports(1)[0]
     command = [executable, str(_HERE / "target_host.py"), "--service", _SERVICE]
     command += ["--control-port", str(port), "--shards", str(shards)]
     command += ["--delay", "0", "--records", str(5 * shards)]
+    command += ["--connections", str(connections)]
     for entry in fleet.entries:
         command += ["--entry", f"127.0.0.1:{entry.http_port}"]
     process = Popen(command)
@@ -187,6 +191,33 @@
     return [make_slope(name, "bytes", "open connections", points, note)]
 
 
+def memory_target_connection(arguments: Namespace) -> list[Slope]:
+    """Return the memory of open connections to targets, on the client's side."""
+    sizes = arguments.sizes or (10, 100, 300, 1_000)
+    with _fleet(1) as fleet, _targets(fleet, 1, max(sizes)) as addresses:
+        points = [
+            (float(count), float(run(_memory_of_clients, addresses[0], count)))
+            for count in sizes
+        ]
+    note = "Python objects (tracemalloc) of HttpConnection after one exchange on each"
+    name = "memory_per_target_connection"
+    return [make_slope(name, "bytes", "connections to targets", points, note)]
+
+
+async def _memory_of_clients(address: Address, count: int) -> int:
+    start()
+    connections = []
+    for _ in range(count):
+        opened = await HttpConnection.open("target", address, SystemClock(), _LIMIT)
+        await opened.ok.exchange("GET", "/", {}, b"", _LIMIT)
+        connections.append(opened.ok)
+    used = get_traced_memory()[0]
+    stop()
+    for connection in connections:
+        await connection.close()
+    return used
+
+
 def cpu_connections(arguments: Namespace) -> list[Slope]:
     """Return the CPU of an instance for a query against fan-out, over connections."""
     points = []
