Give the replicas of a shard different owners

Cause: rendezvous hashing per replica gave both replicas of a shard to one of three instances; freezing it lost the shard until the election and the lease had passed (features/callers.feature, frozen instance, failed). Change: the replicas of a shard choose in the order of their names and pass over owners of earlier ones. An instance that is gone counts as a former owner if it is among the first of the ranking, not only if it ranks above the new owner.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -47,3 +47,8 @@
     # Guards against contradicting announcements that nobody notices.
     When an announcement is relayed twice
     Then one stale relay was counted
+
+  Scenario: Replicas of one shard have different owners
+    # Guards against a shard that is lost with one instance although replicas live.
+    Then replicas of one shard have as many owners as there are instances for them
+    And the owner of the n-th replica is among the first n of its ranking
--- a/src/lovagetray/commands/membership/_transfer.py
+++ b/src/lovagetray/commands/membership/_transfer.py
@@ -92,7 +92,7 @@
         self._last_live: dict[str, timedelta] = {}
         self._stopped: dict[str, InstanceId] = {}
         # Owners by replica for the records they were ranked from.
-        self._ranked: list[InstanceRecord] = []
+        self._ranked: tuple[int, list[InstanceRecord]] = (-1, [])
         self._owners: dict[tuple[str, str, str], str | None] = {}
         self._started_at = clock.elapsed()
         self._lease_at: timedelta | None = None
@@ -104,13 +104,15 @@
         if live is None:
             return None
         records = self._records(live)
-        if records != self._ranked:
-            self._ranked = records
+        ranked = self._directory.structure, records
+        if ranked != self._ranked:
+            self._ranked = ranked
             self._owners.clear()
         key = (announcement.service, announcement.target, announcement.data_centre)
         name = self._owners.get(key)
         if name is None:
-            owner = owner_of(announcement, records)
+            earlier = self._directory.earlier_siblings(announcement)
+            owner = owner_of(announcement, records, earlier)
             name = None if owner is None else owner.instance.name
             self._owners[key] = name
         return name
@@ -272,8 +274,9 @@
     def _may_have_owned(self, announcement: Announcement, name: str) -> bool:
         """Tell whether an instance that is not live may have owned a replica.
 
-        One ranked above this instance may. One ranked below may as well, unless it was
-        live while this instance was, for long enough to release everything to it.
+        One ranked above this instance may, and one among the first of the ranking whose
+        betters own earlier replicas of the shard. One ranked below may as well, unless
+        it was live while this instance was, for long enough to release everything.
         """
         last_live = self._last_live.get(name)
         record = self._members.record(name)
@@ -281,8 +284,14 @@
             return False
         if last_live is None or record is None or self._lease_since is None:
             return True
-        ranking = ownership_ranking(announcement, [self._members.myself, record])
-        return ranking[0] == record or last_live - self._lease_since < _SETTLED
+        live = self._records(self._lease.live() or ())
+        others = [one for one in live if one != record]
+        ranking = ownership_ranking(announcement, [*others, record])
+        place = ranking.index(record)
+        below = self._members.myself in ranking[:place]
+        passed_over = place <= len(self._directory.earlier_siblings(announcement))
+        unsettled = last_live - self._lease_since < _SETTLED
+        return not below or passed_over or unsettled
 
     def _former(self, name: str) -> FormerOwner:
         record = self._members.record(name)
--- a/src/lovagetray/queries/membership/_ownership.py
+++ b/src/lovagetray/queries/membership/_ownership.py
@@ -26,8 +26,33 @@
 
 
 def owner_of(
-    announcement: Announcement, instances: Sequence[InstanceRecord]
+    announcement: Announcement,
+    instances: Sequence[InstanceRecord],
+    earlier: Sequence[Announcement] = (),
+) -> InstanceRecord | None:
+    """Return the instance that owns a replica, or None if there is no instance.
+
+    Replicas of one shard get different owners while there are enough instances, so
+    that the loss of one instance leaves the others of the shard in reach. The owner of
+    the replica after `n` earlier ones is among the first `n + 1` of its ranking.
+
+    Parameters
+    ----------
+    earlier
+        The replicas of the same shard that choose before this one, in their order.
+    """
+    taken: set[str] = set()
+    for sibling in earlier:
+        owner = _first_free(ownership_ranking(sibling, instances), taken)
+        if owner is not None:
+            taken.add(owner.instance.name)
+    return _first_free(ownership_ranking(announcement, instances), taken)
+
+
+def _first_free(
+    ranking: Sequence[InstanceRecord], taken: set[str]
 ) -> InstanceRecord | None:
-    """Return the instance that owns a replica, or None if there is no instance."""
-    ranking = ownership_ranking(announcement, instances)
+    for record in ranking:
+        if record.instance.name not in taken:
+            return record
     return ranking[0] if ranking else None
--- a/src/lovagetray/state/_directory.py
+++ b/src/lovagetray/state/_directory.py
@@ -47,6 +47,7 @@
         self._lifetime = lifetime
         self._listings: dict[str, dict[str, Listing]] = {}
         self._layouts: dict[str, dict[int, Snapshot]] = {}
+        self._structure = 0
         self._round_at: timedelta | None = None
         self._paused_at: timedelta | None = None
         self._grace_ends = timedelta(0)
@@ -60,6 +61,11 @@
         """Set how long an announcement counts after it was heard."""
         self._lifetime = lifetime
 
+    @property
+    def structure(self) -> int:
+        """Counts the changes of which targets there are and which shard each serves."""
+        return self._structure
+
     @property
     def services(self) -> tuple[str, ...]:
         """The services that targets have announced."""
@@ -79,6 +85,10 @@
         contradiction = self._contradiction(announcement)
         if contradiction is not None:
             return Error(contradiction)
+        if known is None or _first_shard(known.announcement) != _first_shard(
+            announcement
+        ):
+            self._structure += 1
         listing = _next_listing(known, announcement, heard_at)
         self._listings.setdefault(announcement.service, {})[
             announcement.target
@@ -117,6 +127,7 @@
             for name in gone:
                 del listings[name]
             if gone:
+                self._structure += 1
                 self._forget_layouts(service)
         empty = [service for service, found in self._listings.items() if not found]
         for service in empty:
@@ -135,6 +146,17 @@
         for listings in self._listings.values():
             yield from listings.values()
 
+    def earlier_siblings(self, announcement: Announcement) -> list[Announcement]:
+        """Return the replicas of the same shard whose names come before this one's."""
+        shard = _first_shard(announcement)
+        siblings = [
+            listing.announcement
+            for listing in self._listings.get(announcement.service, {}).values()
+            if listing.announcement.target < announcement.target
+            and _first_shard(listing.announcement) == shard
+        ]
+        return sorted(siblings, key=lambda sibling: sibling.target)
+
     def snapshots(self, service: str) -> list[Snapshot]:
         """Return the announced snapshots of a service, the newest first."""
         layouts = self._layouts.get(service, {})
@@ -197,6 +219,14 @@
         }
 
 
+def _first_shard(announcement: Announcement) -> tuple[int, int] | None:
+    """Return the shard that a target holds of its oldest snapshot."""
+    if not announcement.holdings:
+        return None
+    oldest = min(announcement.holdings, key=lambda holding: holding.snapshot.version)
+    return oldest.snapshot.shards, oldest.shard
+
+
 def _supersedes(new: Announcement, old: Announcement) -> bool:
     if (new.incarnation, new.sequence) <= (old.incarnation, old.sequence):
         return False
