--- /dev/null
+++ b/features/fakes/replica_fleet.py
@@ -0,0 +1,294 @@
+"""Replicas and their owners in virtual time, behind the interface of the sender."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+from typing import NamedTuple
+
+from curio import Event, Queue, TaskGroup
+from expression import Error, Ok, Result
+
+from lovagetray._clock import Clock
+from lovagetray._errors import (
+    ConnectFailed,
+    ConnectionLost,
+    DeadlinePassed,
+    Failure,
+    NoReply,
+    Overloaded,
+    RefusedByTarget,
+    SnapshotUnavailable,
+)
+from lovagetray._types import (
+    Address,
+    Announcement,
+    Holding,
+    Load,
+    Record,
+    Snapshot,
+    SubReply,
+    SubRequest,
+    TargetState,
+)
+from lovagetray.state import Directory
+from lovagetray.targets import SubOutcome
+
+# The way to the owner and the target, there and back; it occupies a slot here.
+_HOP = timedelta(milliseconds=1)
+
+
+@dataclass(frozen=True)
+class Working:
+    """Serves; a factor above one makes it a straggler."""
+
+    factor: float = 1.0
+
+
+@dataclass(frozen=True)
+class Frozen:
+    """Accepts work and never replies."""
+
+    announces: bool = True
+
+
+@dataclass(frozen=True)
+class Lost:
+    """Refuses connections and has stopped to announce itself."""
+
+
+@dataclass(frozen=True)
+class Refusing:
+    """Refuses all work with a reason: shed, draining or starting."""
+
+    reason: str
+
+
+Condition = Working | Frozen | Lost | Refusing
+
+
+class Shape(NamedTuple):
+    """The size of a service and how its replicas behave.
+
+    Parameters
+    ----------
+    crossed, late
+        Share of replies that name another request, and of cancelled sub-requests
+        that deliver an outcome all the same.
+    reports
+        What load reports say: true, frozen or wrong.
+    """
+
+    service: str = "kallioniemi/invoices"
+    targets: int = 30
+    slots: int = 5
+    work: timedelta = timedelta(milliseconds=5)
+    connect_cost: timedelta = timedelta(milliseconds=6)
+    records: int = 200
+    crossed: float = 0.0
+    late: float = 0.0
+    reports: str = "true"
+
+
+class _Job:
+    def __init__(self, request: SubRequest, deadline: timedelta, inbox: Queue) -> None:
+        self.request = request
+        self.deadline = deadline
+        self.inbox = inbox
+        self.cancelled = Event()
+        self.waiting = True
+
+
+class Replica:
+    """One target: its condition, what it holds and the work its owner gave it."""
+
+    def __init__(self, name: str, number: int) -> None:
+        self.name = name
+        self.number = number
+        self.condition: Condition = Working()
+        self.versions: list[Snapshot] = []
+        self.jobs: Queue = Queue()
+        self.waiting = 0
+        self.working = 0
+        self.most_working = 0
+        self.sequence = 0
+        self.served = 0
+
+
+class ReplicaFleet:
+    """All replicas of a service; a `SubRequestSender` for any number of searchers.
+
+    The replica with number n holds shard ``n % shards`` of every snapshot it has, and
+    record r of a version is in shard ``r % shards``.
+    """
+
+    def __init__(
+        self, shape: Shape, clock: Clock, directory: Directory, random: Random
+    ) -> None:
+        self.shape = shape
+        self.replicas = [Replica(f"t{n}", n) for n in range(shape.targets)]
+        self.sent = 0
+        self.cancelled = 0
+        self._clock = clock
+        self._directory = directory
+        self._random = random
+        self._by_name = {replica.name: replica for replica in self.replicas}
+        self._jobs: dict[str, _Job] = {}
+
+    async def start(self, group: TaskGroup, snapshot: Snapshot) -> None:
+        """Hold a snapshot everywhere and start one task for each slot."""
+        for replica in self.replicas:
+            replica.versions = [snapshot]
+            self.announce(replica)
+            for _ in range(self.shape.slots):
+                await group.spawn(self._serve, replica)
+        await group.spawn(self._announce_forever)
+
+    async def send(self, requests: Sequence[SubRequest], inbox: Queue) -> None:
+        """Queue sub-requests at their replicas, as their owners do."""
+        now = self._clock.elapsed()
+        for request in requests:
+            self.sent += 1
+            replica = self._by_name[request.target]
+            job = _Job(request, now + request.budget, inbox)
+            wait = self.queue_wait(replica)
+            if wait > request.budget:
+                await self._deliver(job, Error(Overloaded(wait)))
+                continue
+            self._jobs[request.request_id] = job
+            replica.waiting += 1
+            await replica.jobs.put(job)
+
+    async def cancel(self, request_ids: Sequence[str]) -> None:
+        """Stop work whose outcome is no longer wanted."""
+        for request_id in request_ids:
+            job = self._jobs.get(request_id)
+            if job is not None:
+                self.cancelled += 1
+                self._start(job)
+                await job.cancelled.set()
+
+    def queue_wait(self, replica: Replica) -> timedelta:
+        """Return how long a new sub-request would wait for a slot."""
+        return self._mean(replica) * (replica.waiting / self.shape.slots)
+
+    def announce(self, replica: Replica, state: str = "ready") -> None:
+        """Let the directory hear a replica."""
+        replica.sequence += 1
+        shape = self.shape
+        load = Load(replica.working, replica.waiting)
+        match shape.reports:
+            case "frozen":
+                load = Load(replica.number % 3, 0)
+            case "wrong":
+                load = Load(0, self._random.randrange(100))
+        announcement = Announcement(
+            service=shape.service,
+            target=replica.name,
+            incarnation=1,
+            sequence=replica.sequence,
+            data_centre="helsinki-1",
+            address=Address("127.0.0.1", 1),
+            state=TargetState(state),
+            holdings=tuple(
+                Holding(one, replica.number % one.shards) for one in replica.versions
+            ),
+            slots=shape.slots,
+            connections=40,
+            connect_cost=shape.connect_cost,
+            load=load,
+        )
+        self._directory.accept(announcement, self._clock.elapsed())
+
+    def records(self, snapshot: Snapshot, shard: int) -> list[Record]:
+        """Return the records that a shard of a snapshot holds."""
+        fields = {"version": str(snapshot.version)}
+        return [
+            Record(f"r{number:04d}", float(number), fields)
+            for number in range(shard, self.shape.records, snapshot.shards)
+        ]
+
+    def _mean(self, replica: Replica) -> timedelta:
+        match replica.condition:
+            case Working(factor=factor):
+                return self.shape.work * factor + _HOP
+            case _:
+                return self.shape.work + _HOP
+
+    async def _announce_forever(self) -> None:
+        pause = timedelta(seconds=1) / len(self.replicas)
+        while True:
+            for replica in self.replicas:
+                await self._clock.sleep(pause)
+                match replica.condition:
+                    case Lost() | Frozen(announces=False):
+                        pass
+                    case _:
+                        self.announce(replica)
+
+    async def _serve(self, replica: Replica) -> None:
+        while True:
+            job = await replica.jobs.get()
+            self._start(job)
+            if not job.cancelled.is_set():
+                replica.working += 1
+                replica.most_working = max(replica.most_working, replica.working)
+                result = await self._work(replica, job)
+                replica.working -= 1
+                stopped = job.cancelled.is_set()
+                if not stopped or self._random.random() < self.shape.late:
+                    await self._deliver(job, result)
+            self._jobs.pop(job.request.request_id, None)
+
+    def _start(self, job: _Job) -> None:
+        if job.waiting:
+            job.waiting = False
+            self._by_name[job.request.target].waiting -= 1
+
+    async def _work(self, replica: Replica, job: _Job) -> Result[SubReply, Failure]:
+        if job.deadline - self._clock.elapsed() <= _HOP:
+            return Error(DeadlinePassed())
+        await self._clock.sleep(_HOP)
+        left = job.deadline - self._clock.elapsed()
+        match replica.condition:
+            case Lost():
+                return Error(ConnectFailed(replica.name))
+            case Refusing(reason=reason):
+                return Error(RefusedByTarget(replica.name, reason))
+        if job.request.snapshot not in replica.versions:
+            return Error(SnapshotUnavailable(replica.name))
+        work = (self._mean(replica) - _HOP) * self._random.expovariate(1.0)
+        await self._clock.within(min(work, left), job.cancelled.wait())
+        match replica.condition:
+            case Lost():
+                return Error(ConnectionLost(replica.name))
+            case Frozen():
+                left = job.deadline - self._clock.elapsed()
+                await self._clock.within(left, job.cancelled.wait())
+                return Error(NoReply(replica.name))
+        if work > left:
+            return Error(NoReply(replica.name))
+        replica.served += 1
+        return Ok(self._reply(replica, job.request))
+
+    def _reply(self, replica: Replica, request: SubRequest) -> SubReply:
+        reply = SubReply(
+            request.request_id,
+            request.shard,
+            request.snapshot,
+            tuple(self.records(request.snapshot, request.shard)),
+            self.queue_wait(replica),
+        )
+        if self._random.random() >= self.shape.crossed:
+            return reply
+        other = request.snapshot._replace(version=request.snapshot.version - 1)
+        return self._random.choice(
+            (
+                reply._replace(request_id="crossed"),
+                reply._replace(shard=(request.shard + 1) % request.snapshot.shards),
+                reply._replace(snapshot=other),
+            )
+        )
+
+    async def _deliver(self, job: _Job, result: Result[SubReply, Failure]) -> None:
+        await job.inbox.put(SubOutcome(job.request.request_id, result))
--- a/src/lovagetray/_telemetry.py
+++ b/src/lovagetray/_telemetry.py
@@ -1,9 +1,10 @@
 """Logging and metrics of a process."""
 
+from logging import INFO
 from sys import stderr
 
 from prometheus_client import Counter, Gauge, Histogram
-from structlog import PrintLoggerFactory, configure
+from structlog import PrintLoggerFactory, configure, make_filtering_bound_logger
 from structlog.contextvars import merge_contextvars
 from structlog.processors import JSONRenderer, TimeStamper, add_log_level
 
@@ -23,6 +24,47 @@
     "Sub-requests sent, by kind: first, retry or hedge",
     ["service", "kind"],
 )
+SHARDS_INCLUDED = Counter(
+    "lovagetray_shards_included_total",
+    "Shards included in answers",
+    ["service"],
+)
+LATE_REPLIES = Counter(
+    "lovagetray_late_replies_total",
+    "Outcomes of sub-requests that were no longer waited for",
+    ["service"],
+)
+WRONG_REPLIES = Counter(
+    "lovagetray_wrong_replies_total",
+    "Replies discarded because they named another request, shard or snapshot",
+    ["service", "field"],
+)
+QUERY_RESTARTS = Counter(
+    "lovagetray_query_restarts_total",
+    "Queries run again at a newer snapshot",
+    ["service"],
+)
+SEARCH_REFUSALS = Counter(
+    "lovagetray_search_refusals_total",
+    "Searches refused, by service and error code",
+    ["service", "code"],
+)
+ADMISSION_RUNNING = Gauge(
+    "lovagetray_admission_running",
+    "Queries that run now",
+    ["service"],
+)
+ADMISSION_WAITING = Gauge(
+    "lovagetray_admission_waiting",
+    "Queries that wait to be admitted",
+    ["service"],
+)
+ADMISSION_SECONDS = Histogram(
+    "lovagetray_admission_seconds",
+    "Time that admitted queries waited",
+    ["service"],
+    buckets=(0.001, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.33),
+)
 REFUSALS = Counter(
     "lovagetray_refusals_total",
     "Requests answered with an error, by its code",
@@ -39,9 +81,10 @@
 )
 
 
-def configure_logging() -> None:
-    """Write log events as JSON lines to standard error."""
+def configure_logging(level: int = INFO) -> None:
+    """Write log events of a level and above as JSON lines to standard error."""
     configure(
+        wrapper_class=make_filtering_bound_logger(level),
         processors=[
             merge_contextvars,
             add_log_level,
--- a/src/lovagetray/entry/_query_routes.py
+++ b/src/lovagetray/entry/_query_routes.py
@@ -13,7 +13,7 @@
 from lovagetray._telemetry import MEMBER_SERVICE, SEARCH_SECONDS, SHARDS_MISSING
 from lovagetray._types import Answer, SearchRequest
 from lovagetray.queries.membership import addresses_for
-from lovagetray.queries.search import Searcher
+from lovagetray.queries.search import Searcher, SettingsOf, default_settings
 from lovagetray.state import Directory, InstanceState, Members
 from lovagetray.wire import (
     HttpRequest,
@@ -33,12 +33,18 @@
     """Answers callers' searches and questions about the system."""
 
     def __init__(
-        self, searcher: Searcher, directory: Directory, members: Members, clock: Clock
+        self,
+        searcher: Searcher,
+        directory: Directory,
+        members: Members,
+        clock: Clock,
+        settings_of: SettingsOf = default_settings,
     ) -> None:
         self._searcher = searcher
         self._directory = directory
         self._members = members
         self._clock = clock
+        self._settings_of = settings_of
 
     async def search(self, request: HttpRequest, request_id: str) -> HttpResponse:
         """Answer ``POST /v1/search``."""
@@ -47,8 +53,9 @@
                 pass
             case Result(error=malformed):
                 return encode_failure(malformed, request_id)
+        settings = self._settings_of(document["service"])
         defaults = SearchDefaults(
-            deadline=timedelta(milliseconds=330), require_complete=False
+            deadline=settings.deadline, require_complete=settings.require_complete
         )
         match search_request(document, request_id, defaults):
             case Result(tag="ok", ok=search):
--- a/src/lovagetray/queries/search/_coordinate.py
+++ b/src/lovagetray/queries/search/_coordinate.py
@@ -1,31 +1,80 @@
-"""Runs one search: fans out to every shard of a snapshot and merges the replies."""
+"""Runs one search from its arrival to its answer or refusal."""
 
-from datetime import timedelta
-from uuid import uuid4
+from dataclasses import dataclass
+from random import Random
+from typing import NamedTuple
 
-from curio import Queue
 from expression import Error, Ok, Result
+from structlog import get_logger
 
 from lovagetray._clock import Clock
-from lovagetray._errors import Failure, Incomplete, UnknownService
-from lovagetray._types import (
-    Answer,
-    MissingReason,
-    SearchRequest,
-    Snapshot,
-    SubRequest,
+from lovagetray._errors import Failure, Incomplete, UnknownService, proves_not_run
+from lovagetray._telemetry import (
+    ADMISSION_SECONDS,
+    QUERY_RESTARTS,
+    SEARCH_REFUSALS,
+    SHARDS_INCLUDED,
+)
+from lovagetray._types import Answer, SearchRequest, Snapshot
+from lovagetray._violations import FalseNotRun, Violations
+from lovagetray.queries.search._admission import Admission
+from lovagetray.queries.search._budget import HEDGE_BURST, RETRY_BURST, ExtraBudget
+from lovagetray.queries.search._collaborators import (
+    Collaborators,
+    QueryLimits,
+    limits_of,
+)
+from lovagetray.queries.search._fan_out import FanOut, Gathered, SnapshotLost
+from lovagetray.queries.search._replica_book import ReplicaBook
+from lovagetray.queries.search._settings import (
+    SearchSettings,
+    SettingsOf,
+    default_settings,
 )
-from lovagetray._violations import ForeignReply, Violations
-from lovagetray.queries.search._merge import Merge
 from lovagetray.queries.search._snapshot import choose_snapshot
 from lovagetray.state import Directory
-from lovagetray.targets import SubOutcome, SubRequestSender
+from lovagetray.targets import SubRequestSender
+
+_log = get_logger()
+_MOST_RESTARTS = 2
+
+
+class _Query(NamedTuple):
+    """A search on its way through this instance."""
 
-_LARGEST_ATTEMPTS = 3
+    id: str
+    request: SearchRequest
+    settings: SearchSettings
+    limits: QueryLimits
+
+
+@dataclass(frozen=True, slots=True)
+class _Ran:
+    """What running a query came to, and what it cost.
+
+    Parameters
+    ----------
+    sent
+        Sub-requests that were handed to the sender.
+    pressed
+        Whether replicas were overloaded or their queues long.
+    """
+
+    result: Result[Answer, Failure]
+    sent: int
+    pressed: bool
 
 
 class Searcher:
-    """Answers searches; one call runs in the task of the caller's connection."""
+    """Answers searches; one call runs in the task of the caller's connection.
+
+    Parameters
+    ----------
+    settings_of
+        Returns the settings in force for a service.
+    random
+        Breaks near-ties between replicas and makes query ids.
+    """
 
     def __init__(
         self,
@@ -33,106 +82,133 @@
         sender: SubRequestSender,
         clock: Clock,
         violations: Violations,
+        settings_of: SettingsOf = default_settings,
+        random: Random | None = None,
     ) -> None:
-        self._directory = directory
-        self._sender = sender
-        self._clock = clock
-        self._violations = violations
+        self._shared = Collaborators(
+            directory=directory,
+            sender=sender,
+            clock=clock,
+            violations=violations,
+            book=ReplicaBook(),
+            hedges=ExtraBudget("hedge.budget", HEDGE_BURST, violations),
+            retries=ExtraBudget("retry.budget", RETRY_BURST, violations),
+            random=random or Random(),
+        )
+        self._settings_of = settings_of
+        self._admission = Admission(clock)
+
+    @property
+    def admission(self) -> Admission:
+        """The limits on queries in flight."""
+        return self._admission
 
     async def search(self, request: SearchRequest) -> Result[Answer, Failure]:
         """Return the answer to a search within its budget, or why there is none."""
-        now = self._clock.elapsed()
-        snapshot = choose_snapshot(self._directory, request.service, now)
+        shared = self._shared
+        query = _Query(
+            f"{shared.random.getrandbits(128):032x}",
+            request,
+            self._settings_of(request.service),
+            limits_of(request.budget, shared.clock.elapsed()),
+        )
+        ran = await self._admit(query)
+        match ran.result:
+            case Result(tag="ok", ok=answer):
+                self._log_answer(query, answer, ran)
+            case Result(error=failure):
+                if ran.sent and proves_not_run(failure):
+                    shared.violations.report(FalseNotRun(request.request_id))
+                self._log_refusal(query, failure, ran)
+        return ran.result
+
+    async def _admit(self, query: _Query) -> _Ran:
+        service = query.request.service
+        clock = self._shared.clock
+        if not self._shared.directory.snapshots(service):
+            return _Ran(Error(UnknownService(service)), 0, False)
+        entered = await self._admission.enter(
+            service,
+            query.request.member,
+            query.limits.deadline,
+            query.settings.admission_queries,
+        )
+        match entered:
+            case Result(tag="ok", ok=waited):
+                ADMISSION_SECONDS.labels(service).observe(waited.total_seconds())
+            case Result(error=overloaded):
+                return _Ran(Error(overloaded), 0, False)
+        started = clock.elapsed()
+        pressed = False
+        try:
+            ran = await self._run(query)
+            pressed = ran.pressed
+        finally:
+            await self._admission.leave(service, clock.elapsed() - started, pressed)
+        return ran
+
+    async def _run(self, query: _Query) -> _Ran:
+        """Run an admitted query, again at a newer snapshot if its own is lost."""
+        shared = self._shared
+        service = query.request.service
+        snapshot = choose_snapshot(shared.directory, service, shared.clock.elapsed())
         if snapshot is None:
-            return Error(UnknownService(request.service))
-        run = _Run(self, request, snapshot, now + request.budget)
-        answer = await run.gather()
-        if request.require_complete and not answer.coverage.complete:
-            missing = tuple(gap.shard for gap in answer.coverage.missing)
-            return Error(Incomplete(missing, answer.coverage.shards))
-        return Ok(answer)
+            return _Ran(Error(UnknownService(service)), 0, False)
+        sent = 0
+        for restarts_left in range(_MOST_RESTARTS, -1, -1):
+            fan_out = self._fan_out(query, snapshot, restarts_left > 0)
+            end = await fan_out.gather()
+            sent += fan_out.sent
+            match end:
+                case SnapshotLost(newer=newer):
+                    QUERY_RESTARTS.labels(service).inc()
+                    snapshot = newer
+                case Gathered(answer=answer):
+                    result = self._conclude(query, answer)
+                    return _Ran(result, sent, fan_out.pressed)
+        raise AssertionError("a query that may not restart asked to restart")
 
+    def _fan_out(self, query: _Query, snapshot: Snapshot, may_restart: bool) -> FanOut:
+        return FanOut(
+            self._shared,
+            query.settings,
+            query.request,
+            query.id,
+            snapshot,
+            query.limits,
+            may_restart,
+        )
 
-class _Run:
-    """One query at one snapshot."""
+    def _conclude(self, query: _Query, answer: Answer) -> Result[Answer, Failure]:
+        coverage = answer.coverage
+        if query.request.require_complete and not coverage.complete:
+            missing = tuple(gap.shard for gap in coverage.missing)
+            return Error(Incomplete(missing, coverage.shards))
+        return Ok(answer)
 
-    def __init__(
-        self,
-        searcher: Searcher,
-        request: SearchRequest,
-        snapshot: Snapshot,
-        deadline: timedelta,
-    ) -> None:
-        self._searcher = searcher
-        self._request = request
-        self._deadline = deadline
-        self._query_id = uuid4().hex
-        self._inbox: Queue = Queue()
-        self._sent: dict[str, SubRequest] = {}
-        self._tried: dict[int, set[str]] = {}
-        self._merge = Merge(self._query_id, snapshot, searcher._violations)
-
-    async def gather(self) -> Answer:
-        clock = self._searcher._clock
-        await self._send_to_shards(self._merge.open_shards)
-        while self._merge.open_shards:
-            left = self._deadline - clock.elapsed()
-            match await clock.within(left, self._inbox.get()):
-                case Result(tag="ok", ok=outcome):
-                    await self._take(outcome)
-                case _:
-                    break
-        await self._searcher._sender.cancel(list(self._sent))
-        return self._merge.answer(self._request)
-
-    async def _take(self, outcome: SubOutcome) -> None:
-        sub_request = self._sent.pop(outcome.request_id, None)
-        if sub_request is None:
-            violation = ForeignReply(self._query_id, outcome.request_id)
-            self._searcher._violations.report(violation)
-            return
-        match outcome.result:
-            case Result(tag="ok", ok=reply):
-                self._merge.add(reply)
-            case _:
-                await self._send_to_shards([sub_request.shard])
-
-    async def _send_to_shards(self, shards: list[int]) -> None:
-        requests = []
-        for shard in shards:
-            request = self._next_attempt(shard)
-            if request is None:
-                reason = MissingReason.FAILED
-                if not self._tried.get(shard):
-                    reason = MissingReason.NO_REPLICA
-                self._merge.miss(shard, reason)
-                continue
-            self._sent[request.request_id] = request
-            requests.append(request)
-        await self._searcher._sender.send(requests, self._inbox)
-
-    def _next_attempt(self, shard: int) -> SubRequest | None:
-        """Return a sub-request to a replica that was not tried yet."""
-        now = self._searcher._clock.elapsed()
-        tried = self._tried.setdefault(shard, set())
-        if len(tried) >= _LARGEST_ATTEMPTS:
-            return None
-        for listing in self._searcher._directory.candidates(
-            self._request.service, self._merge.snapshot, shard, now
-        ):
-            name = listing.announcement.target
-            if name in tried:
-                continue
-            tried.add(name)
-            return SubRequest(
-                request_id=uuid4().hex,
-                query_id=self._query_id,
-                service=self._request.service,
-                target=name,
-                shard=shard,
-                snapshot=self._merge.snapshot,
-                budget=self._deadline - now,
-                terms=self._request.terms,
-                limit=self._request.limit,
-            )
-        return None
+    def _log_answer(self, query: _Query, answer: Answer, ran: _Ran) -> None:
+        coverage = answer.coverage
+        SHARDS_INCLUDED.labels(answer.service).inc(len(coverage.included))
+        _log.debug(
+            "search_answered",
+            request_id=answer.request_id,
+            query_id=query.id,
+            service=answer.service,
+            version=answer.snapshot.version,
+            included=len(coverage.included),
+            missing=len(coverage.missing),
+            sub_requests=ran.sent,
+        )
+
+    def _log_refusal(self, query: _Query, failure: Failure, ran: _Ran) -> None:
+        service = query.request.service
+        SEARCH_REFUSALS.labels(service, failure.code).inc()
+        _log.info(
+            "search_refused",
+            request_id=query.request.request_id,
+            query_id=query.id,
+            service=service,
+            code=failure.code,
+            reason=str(failure),
+            sub_requests=ran.sent,
+        )
--- /dev/null
+++ b/src/lovagetray/queries/search/_fan_out.py
@@ -0,0 +1,339 @@
+"""Sends one query to the shards of one snapshot and gathers the replies."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from heapq import heappop, heappush
+from statistics import median_low
+
+from curio import Queue
+from expression import Error, Ok, Result
+
+from lovagetray._errors import Failure, WrongReply
+from lovagetray._telemetry import LATE_REPLIES, SUB_REQUESTS, WRONG_REPLIES
+from lovagetray._types import (
+    Answer,
+    MissingReason,
+    SearchRequest,
+    Snapshot,
+    SubReply,
+    SubRequest,
+)
+from lovagetray._violations import ForeignReply
+from lovagetray.queries.search._attempts import Attempt, Kind, ShardAttempts
+from lovagetray.queries.search._choose import choose
+from lovagetray.queries.search._collaborators import Collaborators, QueryLimits
+from lovagetray.queries.search._hedge import fast_enough, hedge_delay
+from lovagetray.queries.search._merge import Merge
+from lovagetray.queries.search._replica_book import ReplicaView
+from lovagetray.queries.search._settings import SearchSettings
+from lovagetray.queries.search._snapshot import (
+    newer_complete_snapshot,
+    replicas_by_shard,
+)
+from lovagetray.state import Listing
+from lovagetray.targets import SubOutcome
+
+_ZERO = timedelta(0)
+# Queues this long, as a share of the service's time limit, call for fewer queries.
+_PRESSURE_SHARE = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Gathered:
+    """Every shard replied or is missing for a reason."""
+
+    answer: Answer
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotLost:
+    """A shard has no replica left for the snapshot, but a newer one is complete."""
+
+    newer: Snapshot
+
+
+class FanOut:
+    """One query at one snapshot.
+
+    Parameters
+    ----------
+    query_id
+        Unique over all snapshots that the query is tried at.
+    may_restart
+        Whether the query may be run again at a newer snapshot.
+    """
+
+    def __init__(
+        self,
+        shared: Collaborators,
+        settings: SearchSettings,
+        request: SearchRequest,
+        query_id: str,
+        snapshot: Snapshot,
+        limits: QueryLimits,
+        may_restart: bool,
+    ) -> None:
+        self._shared = shared
+        self._settings = settings
+        self._request = request
+        self._query_id = query_id
+        self._limits = limits
+        self._may_restart = may_restart
+        self._inbox: Queue = Queue()
+        self._open: dict[str, Attempt] = {}
+        self._closed: set[str] = set()
+        self._hedge_times: list[tuple[timedelta, str]] = []
+        self._hedge_delay = hedge_delay(
+            shared.book, request.service, settings, limits.budget
+        )
+        self._shards = [ShardAttempts(shard) for shard in range(snapshot.shards)]
+        self._merge = Merge(query_id, snapshot, shared.violations)
+        self._queue_waits: list[timedelta] = []
+        self._newer: Snapshot | None = None
+        self._sent = 0
+
+    @property
+    def sent(self) -> int:
+        """The sub-requests that were handed to the sender."""
+        return self._sent
+
+    @property
+    def pressed(self) -> bool:
+        """Whether replicas were overloaded, or their queues long, in most shards."""
+        waits = self._queue_waits
+        silent = len(self._shards) - len(waits)
+        if 2 * silent > len(self._shards):
+            return True
+        typical = timedelta(seconds=median_low(wait.total_seconds() for wait in waits))
+        return typical > self._settings.deadline * _PRESSURE_SHARE
+
+    async def gather(self) -> Gathered | SnapshotLost:
+        """Return the answer, at the latest at the deadline."""
+        try:
+            await self._send_first()
+            while not self._merge.finished and self._newer is None:
+                left = self._time_left()
+                if left <= _ZERO:
+                    break
+                wait = min(left, self._until_hedge())
+                match await self._shared.clock.within(wait, self._inbox.get()):
+                    case Result(tag="ok", ok=outcome):
+                        await self._take(outcome)
+                    case _:
+                        await self._send_due_hedges()
+        finally:
+            await self._give_up(tuple(self._open.values()))
+        if self._newer is not None:
+            return SnapshotLost(self._newer)
+        return Gathered(self._merge.answer(self._request))
+
+    async def _send_first(self) -> None:
+        now = self._shared.clock.elapsed()
+        service = self._request.service
+        replicas = replicas_by_shard(
+            self._shared.directory, service, self._merge.snapshot, now
+        )
+        first = []
+        for shard in self._shards:
+            view = self._choose(replicas.get(shard.shard, []), now)
+            if view is None:
+                self._settle(shard, MissingReason.NO_REPLICA)
+            else:
+                first.append(self._attempt(shard, view, Kind.FIRST, now))
+        self._shared.hedges.earn(len(first), self._settings.hedge_budget)
+        self._shared.retries.earn(len(first), self._settings.retry_budget)
+        await self._send(first)
+
+    async def _take(self, outcome: SubOutcome) -> None:
+        attempt = self._open.get(outcome.request_id)
+        if attempt is None:
+            if outcome.request_id in self._closed:
+                LATE_REPLIES.labels(self._request.service).inc()
+            else:
+                violation = ForeignReply(self._query_id, outcome.request_id)
+                self._shared.violations.report(violation)
+            return
+        self._close(attempt)
+        match self._checked(attempt.request, outcome.result):
+            case Result(tag="ok", ok=reply):
+                await self._accept(attempt, reply)
+            case Result(error=failure):
+                await self._fail(attempt, failure)
+
+    def _checked(
+        self, request: SubRequest, result: Result[SubReply, Failure]
+    ) -> Result[SubReply, Failure]:
+        """Return the result, or a failure if the reply answers another request."""
+        match result:
+            case Result(tag="ok", ok=reply):
+                pass
+            case _:
+                return result
+        for field in ("request_id", "shard", "snapshot"):
+            if getattr(reply, field) != getattr(request, field):
+                WRONG_REPLIES.labels(request.service, field).inc()
+                return Error(WrongReply(request.target, field))
+        return Ok(reply)
+
+    async def _accept(self, attempt: Attempt, reply: SubReply) -> None:
+        now = self._shared.clock.elapsed()
+        self._shared.book.replied(attempt.request, reply, now)
+        self._queue_waits.append(reply.queue_wait)
+        self._merge.add(attempt.request, reply)
+        await self._give_up(self._shards[reply.shard].open)
+
+    async def _fail(self, attempt: Attempt, failure: Failure) -> None:
+        """Send to another replica, or note that the shard is missing."""
+        now = self._shared.clock.elapsed()
+        self._shared.book.failed(attempt.request, failure, now)
+        shard = self._shards[attempt.request.shard]
+        shard.failed(attempt, failure)
+        if shard.open:
+            self._plan_hedge(shard.open[-1].request.request_id, now)
+            return
+        view = self._choose(self._candidates(shard, now), now)
+        if view is None:
+            self._settle(shard, shard.reason())
+            return
+        if not self._time_for(view) or not self._shared.retries.spend(
+            self._settings.retry_budget
+        ):
+            reason = shard.reason()
+            if reason is not MissingReason.OVERLOADED:
+                reason = MissingReason.FAILED
+            self._merge.miss(shard.shard, reason)
+            return
+        await self._send([self._attempt(shard, view, Kind.RETRY, now)])
+
+    def _settle(self, shard: ShardAttempts, reason: MissingReason) -> None:
+        """Note that no replica is left for a shard, or plan to restart the query."""
+        self._merge.miss(shard.shard, reason)
+        gone = reason in (MissingReason.SNAPSHOT_GONE, MissingReason.NO_REPLICA)
+        if gone and self._may_restart and self._time_left() > _ZERO:
+            self._newer = newer_complete_snapshot(
+                self._shared.directory,
+                self._request.service,
+                self._merge.snapshot.version,
+                self._shared.clock.elapsed(),
+            )
+
+    async def _send_due_hedges(self) -> None:
+        now = self._shared.clock.elapsed()
+        due = []
+        while self._hedge_times and self._hedge_times[0][0] <= now:
+            _, request_id = heappop(self._hedge_times)
+            attempt = self._open.get(request_id)
+            if attempt is None:
+                continue
+            shard = self._shards[attempt.request.shard]
+            newest = shard.open[-1].request.request_id
+            if newest != request_id:
+                continue
+            hedge = self._hedge(shard, now)
+            if hedge is None:
+                self._plan_hedge(request_id, now)
+            else:
+                due.append(hedge)
+        await self._send(due)
+
+    def _hedge(self, shard: ShardAttempts, now: timedelta) -> Attempt | None:
+        """Return one more attempt at a shard if it may be sent and may help."""
+        service = self._request.service
+        if self._shared.book.sheds(service, now):
+            return None
+        listings = self._candidates(shard, now)
+        views = self._shared.book.views(service, listings, now)
+        view = choose(
+            self._settings.policy,
+            fast_enough(views, self._hedge_delay),
+            self._shared.random,
+        )
+        if view is None or not self._time_for(view):
+            return None
+        if not self._shared.hedges.spend(self._settings.hedge_budget):
+            return None
+        return self._attempt(shard, view, Kind.HEDGE, now)
+
+    async def _send(self, attempts: Sequence[Attempt]) -> None:
+        if not attempts:
+            return
+        for attempt in attempts:
+            request = attempt.request
+            self._open[request.request_id] = attempt
+            self._shards[request.shard].sent(attempt)
+            self._shared.book.sent(request, attempt.sent_at)
+            self._plan_hedge(request.request_id, attempt.sent_at)
+            SUB_REQUESTS.labels(request.service, attempt.kind.value).inc()
+        requests = [attempt.request for attempt in attempts]
+        sending = self._shared.sender.send(requests, self._inbox)
+        await self._shared.clock.within(self._time_left(), sending)
+
+    async def _give_up(self, attempts: Sequence[Attempt]) -> None:
+        """Cancel attempts whose outcome is no longer needed."""
+        if not attempts:
+            return
+        now = self._shared.clock.elapsed()
+        for shard in {attempt.request.shard for attempt in attempts}:
+            if self._merge.is_open(shard):
+                reason = self._shards[shard].reason_at(now)
+                self._merge.miss(shard, reason)
+        for attempt in attempts:
+            self._close(attempt)
+            if now - attempt.sent_at >= self._hedge_delay:
+                self._shared.book.given_up(attempt.request, now)
+            else:
+                self._shared.book.dropped(attempt.request, now)
+        ids = [attempt.request.request_id for attempt in attempts]
+        cancelling = self._shared.sender.cancel(ids)
+        await self._shared.clock.within(self._limits.cancel_limit, cancelling)
+
+    def _close(self, attempt: Attempt) -> None:
+        request_id = attempt.request.request_id
+        del self._open[request_id]
+        self._closed.add(request_id)
+        self._shards[attempt.request.shard].ended(attempt)
+
+    def _attempt(
+        self, shard: ShardAttempts, view: ReplicaView, kind: Kind, now: timedelta
+    ) -> Attempt:
+        self._sent += 1
+        request = SubRequest(
+            request_id=f"{self._query_id}-{self._merge.snapshot.version}-{self._sent}",
+            query_id=self._query_id,
+            service=self._request.service,
+            target=view.target,
+            shard=shard.shard,
+            snapshot=self._merge.snapshot,
+            budget=self._limits.deadline - now,
+            terms=self._request.terms,
+            limit=self._request.limit,
+        )
+        return Attempt(request, kind, now, view.queue_wait)
+
+    def _candidates(self, shard: ShardAttempts, now: timedelta) -> list[Listing]:
+        return shard.untried(
+            self._shared.directory.candidates(
+                self._request.service, self._merge.snapshot, shard.shard, now
+            )
+        )
+
+    def _choose(
+        self, listings: Sequence[Listing], now: timedelta
+    ) -> ReplicaView | None:
+        views = self._shared.book.views(self._request.service, listings, now)
+        return choose(self._settings.policy, views, self._shared.random)
+
+    def _plan_hedge(self, request_id: str, now: timedelta) -> None:
+        heappush(self._hedge_times, (now + self._hedge_delay, request_id))
+
+    def _until_hedge(self) -> timedelta:
+        if not self._hedge_times:
+            return timedelta.max
+        return self._hedge_times[0][0] - self._shared.clock.elapsed()
+
+    def _time_left(self) -> timedelta:
+        return self._limits.deadline - self._shared.clock.elapsed()
+
+    def _time_for(self, view: ReplicaView) -> bool:
+        return self._time_left() > view.latency
--- /dev/null
+++ b/src/lovagetray/queries/search/_latency.py
@@ -0,0 +1,59 @@
+"""Recent latency and refusals of one service."""
+
+from collections import deque
+from datetime import timedelta
+from math import ceil
+
+_SAMPLES = 500
+_FEWEST_SAMPLES = 20
+# Sorting 500 samples for each reply would cost more than the rest of a merge.
+_SAMPLES_PER_SORT = 25
+_SHED_HALF_LIFE = timedelta(seconds=1)
+# A single replica that sheds must not stop the hedges of a whole service.
+_SHEDDING_SHARE = 0.05
+_FEWEST_SHEDS = 2.0
+
+
+class ServiceLatency:
+    """The latest latencies of a service and how much of its work is refused."""
+
+    def __init__(self) -> None:
+        self._samples: deque[timedelta] = deque(maxlen=_SAMPLES)
+        self._sorted: list[timedelta] = []
+        self._unsorted = 0
+        self._outcomes = 0.0
+        self._sheds = 0.0
+        self._counted_at = timedelta(0)
+
+    def add(self, latency: timedelta) -> None:
+        """Take the latency of a reply, or the age at which waiting was given up."""
+        self._samples.append(latency)
+        self._unsorted += 1
+
+    def percentile(self, percent: float) -> timedelta | None:
+        """Return a percentile of recent latency, or None after too few replies."""
+        if len(self._samples) < _FEWEST_SAMPLES:
+            return None
+        if not self._sorted or self._unsorted >= _SAMPLES_PER_SORT:
+            self._sorted = sorted(self._samples)
+            self._unsorted = 0
+        index = ceil(len(self._sorted) * percent / 100) - 1
+        return self._sorted[max(0, index)]
+
+    def count(self, shed: bool, now: timedelta) -> None:
+        """Count an outcome for the share of work that is refused."""
+        self._decay(now)
+        self._outcomes += 1
+        self._sheds += shed
+
+    def sheds(self, now: timedelta) -> bool:
+        """Tell whether replicas of the service refuse work because of load."""
+        self._decay(now)
+        share = self._sheds / max(1.0, self._outcomes)
+        return self._sheds >= _FEWEST_SHEDS and share >= _SHEDDING_SHARE
+
+    def _decay(self, now: timedelta) -> None:
+        factor = 0.5 ** ((now - self._counted_at) / _SHED_HALF_LIFE)
+        self._outcomes *= factor
+        self._sheds *= factor
+        self._counted_at = now
--- a/src/lovagetray/queries/search/_merge.py
+++ b/src/lovagetray/queries/search/_merge.py
@@ -11,8 +11,10 @@
     SearchRequest,
     Snapshot,
     SubReply,
+    SubRequest,
 )
 from lovagetray._violations import (
+    ForeignReply,
     MixedSnapshot,
     ShardCountedTwice,
     UntrueCoverage,
@@ -29,6 +31,7 @@
         self._query_id = query_id
         self._snapshot = snapshot
         self._violations = violations
+        self._open = set(range(snapshot.shards))
         self._replies: dict[int, SubReply] = {}
         self._missing: dict[int, MissingReason] = {}
 
@@ -40,14 +43,22 @@
     @property
     def open_shards(self) -> list[int]:
         """The shards that have neither a reply nor a reason to be missing."""
-        return [
-            shard
-            for shard in range(self._snapshot.shards)
-            if shard not in self._replies and shard not in self._missing
-        ]
-
-    def add(self, reply: SubReply) -> None:
-        """Take the reply of a shard."""
+        return sorted(self._open)
+
+    @property
+    def finished(self) -> bool:
+        """Whether no shard is open."""
+        return not self._open
+
+    def is_open(self, shard: int) -> bool:
+        """Tell whether a shard has neither a reply nor a reason to be missing."""
+        return shard in self._open
+
+    def add(self, request: SubRequest, reply: SubReply) -> None:
+        """Take the reply to a sub-request."""
+        if reply.request_id != request.request_id:
+            self._violations.report(ForeignReply(self._query_id, reply.request_id))
+            return
         if reply.snapshot != self._snapshot:
             self._violations.report(MixedSnapshot(self._query_id))
             return
@@ -55,27 +66,21 @@
             self._violations.report(ShardCountedTwice(self._query_id, reply.shard))
             return
         self._missing.pop(reply.shard, None)
+        self._open.discard(reply.shard)
         self._replies[reply.shard] = reply
 
     def miss(self, shard: int, reason: MissingReason) -> None:
         """Record why a shard will be missing."""
         if shard not in self._replies:
+            self._open.discard(shard)
             self._missing[shard] = reason
 
     def answer(self, request: SearchRequest) -> Answer:
         """Return the best records, with what they cover."""
         for shard in self.open_shards:
             self.miss(shard, MissingReason.TIMEOUT)
-        coverage = Coverage(
-            shards=self._snapshot.shards,
-            included=tuple(sorted(self._replies)),
-            missing=tuple(
-                MissingShard(shard, self._missing[shard])
-                for shard in sorted(self._missing)
-            ),
-        )
-        if len(coverage.included) + len(coverage.missing) != coverage.shards:
-            self._violations.report(UntrueCoverage(self._query_id))
+        coverage = self._coverage()
+        self._check(coverage)
         records = nlargest(
             request.limit,
             (record for reply in self._replies.values() for record in reply.records),
@@ -90,6 +95,29 @@
             records=tuple(records),
         )
 
+    def _coverage(self) -> Coverage:
+        return Coverage(
+            shards=self._snapshot.shards,
+            included=tuple(sorted(self._replies)),
+            missing=tuple(
+                MissingShard(shard, self._missing[shard])
+                for shard in sorted(self._missing)
+            ),
+        )
+
+    def _check(self, coverage: Coverage) -> None:
+        merged = {reply.shard for reply in self._replies.values()}
+        missing = {gap.shard for gap in coverage.missing}
+        every = set(range(self._snapshot.shards))
+        listed = len(coverage.included) + len(coverage.missing)
+        if (
+            set(coverage.included) != merged
+            or missing != every - merged
+            or listed != len(every)
+            or coverage.shards != len(every)
+        ):
+            self._violations.report(UntrueCoverage(self._query_id))
+
 
 def _rank(record: Record) -> tuple[float, str]:
     return record.score, record.id
--- a/src/lovagetray/queries/search/_snapshot.py
+++ b/src/lovagetray/queries/search/_snapshot.py
@@ -3,11 +3,11 @@
 from datetime import timedelta
 
 from lovagetray._types import Snapshot
-from lovagetray.state import Directory
+from lovagetray.state import Directory, Listing
 
 
 def choose_snapshot(
-    directory: Directory, service: str, now: timedelta, newer_than: int = -1
+    directory: Directory, service: str, now: timedelta
 ) -> Snapshot | None:
     """Return the newest snapshot that is complete, or else the most complete one.
 
@@ -15,8 +15,6 @@
     ----------
     now
         The time on the monotonic clock.
-    newer_than
-        Only versions above this one are considered.
 
     Returns
     -------
@@ -26,8 +24,6 @@
     best: Snapshot | None = None
     best_share = -1.0
     for snapshot in directory.snapshots(service):
-        if snapshot.version <= newer_than:
-            continue
         share = _usable_share(directory, service, snapshot, now)
         if share > best_share:
             best, best_share = snapshot, share
@@ -36,14 +32,33 @@
     return best
 
 
+def newer_complete_snapshot(
+    directory: Directory, service: str, version: int, now: timedelta
+) -> Snapshot | None:
+    """Return the newest complete snapshot above a version, or None."""
+    for snapshot in directory.snapshots(service):
+        if snapshot.version <= version:
+            return None
+        if _usable_share(directory, service, snapshot, now) == 1.0:
+            return snapshot
+    return None
+
+
+def replicas_by_shard(
+    directory: Directory, service: str, snapshot: Snapshot, now: timedelta
+) -> dict[int, list[Listing]]:
+    """Return the usable replicas of each shard that has any."""
+    found: dict[int, list[Listing]] = {}
+    for listing in directory.listings(service):
+        if not directory.usable(listing, now):
+            continue
+        for holding in listing.announcement.holdings:
+            if holding.snapshot == snapshot:
+                found.setdefault(holding.shard, []).append(listing)
+    return found
+
+
 def _usable_share(
     directory: Directory, service: str, snapshot: Snapshot, now: timedelta
 ) -> float:
-    usable = {
-        holding.shard
-        for listing in directory.listings(service)
-        if directory.usable(listing, now)
-        for holding in listing.announcement.holdings
-        if holding.snapshot == snapshot
-    }
-    return len(usable) / snapshot.shards
+    return len(replicas_by_shard(directory, service, snapshot, now)) / snapshot.shards
