--- a/src/lovagetray/queries/search/_coordinate.py
+++ b/src/lovagetray/queries/search/_coordinate.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 from random import Random
-from typing import NamedTuple
 
 from expression import Error, Ok, Result
 from structlog import get_logger
@@ -18,16 +17,20 @@
 from lovagetray._types import Answer, SearchRequest, Snapshot
 from lovagetray._violations import FalseNotRun, Violations
 from lovagetray.queries.search._admission import Admission
-from lovagetray.queries.search._budget import HEDGE_BURST, RETRY_BURST, ExtraBudget
+from lovagetray.queries.search._budget import (
+    HEDGE_BURST,
+    HEDGE_RESERVE,
+    RETRY_BURST,
+    ExtraBudget,
+)
 from lovagetray.queries.search._collaborators import (
     Collaborators,
-    QueryLimits,
+    Query,
     limits_of,
 )
 from lovagetray.queries.search._fan_out import FanOut, Gathered, SnapshotLost
 from lovagetray.queries.search._replica_book import ReplicaBook
 from lovagetray.queries.search._settings import (
-    SearchSettings,
     SettingsOf,
     default_settings,
 )
@@ -39,15 +42,6 @@
 _MOST_RESTARTS = 2
 
 
-class _Query(NamedTuple):
-    """A search on its way through this instance."""
-
-    id: str
-    request: SearchRequest
-    settings: SearchSettings
-    limits: QueryLimits
-
-
 @dataclass(frozen=True, slots=True)
 class _Ran:
     """What running a query came to, and what it cost.
@@ -56,13 +50,13 @@
     ----------
     sent
         Sub-requests that were handed to the sender.
-    pressed
-        Whether replicas were overloaded or their queues long.
+    pressure
+        Above one if replicas were overloaded or their queues long.
     """
 
     result: Result[Answer, Failure]
     sent: int
-    pressed: bool
+    pressure: float
 
 
 class Searcher:
@@ -91,8 +85,8 @@
             clock=clock,
             violations=violations,
             book=ReplicaBook(),
-            hedges=ExtraBudget("hedge.budget", HEDGE_BURST, violations),
-            retries=ExtraBudget("retry.budget", RETRY_BURST, violations),
+            hedges=ExtraBudget("hedge.budget", HEDGE_BURST, HEDGE_RESERVE, violations),
+            retries=ExtraBudget("retry.budget", RETRY_BURST, RETRY_BURST, violations),
             random=random or Random(),
         )
         self._settings_of = settings_of
@@ -106,7 +100,7 @@
     async def search(self, request: SearchRequest) -> Result[Answer, Failure]:
         """Return the answer to a search within its budget, or why there is none."""
         shared = self._shared
-        query = _Query(
+        query = Query(
             f"{shared.random.getrandbits(128):032x}",
             request,
             self._settings_of(request.service),
@@ -122,11 +116,11 @@
                 self._log_refusal(query, failure, ran)
         return ran.result
 
-    async def _admit(self, query: _Query) -> _Ran:
+    async def _admit(self, query: Query) -> _Ran:
         service = query.request.service
         clock = self._shared.clock
         if not self._shared.directory.snapshots(service):
-            return _Ran(Error(UnknownService(service)), 0, False)
+            return _Ran(Error(UnknownService(service)), 0, 0.0)
         entered = await self._admission.enter(
             service,
             query.request.member,
@@ -137,24 +131,24 @@
             case Result(tag="ok", ok=waited):
                 ADMISSION_SECONDS.labels(service).observe(waited.total_seconds())
             case Result(error=overloaded):
-                return _Ran(Error(overloaded), 0, False)
+                return _Ran(Error(overloaded), 0, 0.0)
         started = clock.elapsed()
-        pressed = False
+        pressure = 0.0
         try:
             ran = await self._run(query)
-            pressed = ran.pressed
+            pressure = ran.pressure
         finally:
-            await self._admission.leave(service, clock.elapsed() - started, pressed)
+            await self._admission.leave(service, clock.elapsed() - started, pressure)
         return ran
 
-    async def _run(self, query: _Query) -> _Ran:
+    async def _run(self, query: Query) -> _Ran:
         """Run an admitted query, again at a newer snapshot if its own is lost."""
         shared = self._shared
         service = query.request.service
         now = shared.clock.elapsed()
         snapshot = choose_snapshot(shared.directory, shared.book, service, now)
         if snapshot is None:
-            return _Ran(Error(UnknownService(service)), 0, False)
+            return _Ran(Error(UnknownService(service)), 0, 0.0)
         sent = 0
         for restarts_left in range(_MOST_RESTARTS, -1, -1):
             fan_out = self._fan_out(query, snapshot, restarts_left > 0)
@@ -166,28 +160,20 @@
                     snapshot = newer
                 case Gathered(answer=answer):
                     result = self._conclude(query, answer)
-                    return _Ran(result, sent, fan_out.pressed)
+                    return _Ran(result, sent, fan_out.pressure)
         raise AssertionError("a query that may not restart asked to restart")
 
-    def _fan_out(self, query: _Query, snapshot: Snapshot, may_restart: bool) -> FanOut:
-        return FanOut(
-            self._shared,
-            query.settings,
-            query.request,
-            query.id,
-            snapshot,
-            query.limits,
-            may_restart,
-        )
+    def _fan_out(self, query: Query, snapshot: Snapshot, may_restart: bool) -> FanOut:
+        return FanOut(self._shared, query, snapshot, may_restart)
 
-    def _conclude(self, query: _Query, answer: Answer) -> Result[Answer, Failure]:
+    def _conclude(self, query: Query, answer: Answer) -> Result[Answer, Failure]:
         coverage = answer.coverage
         if query.request.require_complete and not coverage.complete:
             missing = tuple(gap.shard for gap in coverage.missing)
             return Error(Incomplete(missing, coverage.shards))
         return Ok(answer)
 
-    def _log_answer(self, query: _Query, answer: Answer, ran: _Ran) -> None:
+    def _log_answer(self, query: Query, answer: Answer, ran: _Ran) -> None:
         coverage = answer.coverage
         SHARDS_INCLUDED.labels(answer.service).inc(len(coverage.included))
         _log.debug(
@@ -201,7 +187,7 @@
             sub_requests=ran.sent,
         )
 
-    def _log_refusal(self, query: _Query, failure: Failure, ran: _Ran) -> None:
+    def _log_refusal(self, query: Query, failure: Failure, ran: _Ran) -> None:
         service = query.request.service
         SEARCH_REFUSALS.labels(service, failure.code).inc()
         _log.info(
