--- a/tools/measurement_page.py
+++ b/tools/measurement_page.py
@@ -199,10 +199,11 @@
     yield "average, a fifth of it exponential) is sleep. Loopback adds no delay between"
     yield "data centres. Latency runs from the planned send time. A condition begins"
     yield "together with the measured phase, so that its onset is part of the figures."
-    yield "Requests state a deadline of 330 ms; where a straggler's latency is compared"
-    yield "they state 3 s, which cuts the latency off. Extra is sub-requests over one for"
-    yield "each shard and query that ran; sub-requests in flight at the boundary of a phase"
-    yield "fall into the next one, so that short phases show a few percent of error."
+    yield "Requests state a deadline of 330 ms, or 3 s where a straggler's latency"
+    yield "is compared, which cuts the latency off. Extra is sub-requests over one"
+    yield "for each shard and query that ran; those in flight at the end of a phase"
+    yield "fall into the next one, so that short phases show a few percent of"
+    yield "error."
     for service in dict.fromkeys(run["service"] for run in results["runs"]):
         yield from _service(results, service)
     if results["sweep"]:
