--- a/src/lovagetray/commands/membership/_transfer.py
+++ b/src/lovagetray/commands/membership/_transfer.py
@@ -275,8 +275,9 @@
         """Tell whether an instance that is not live may have owned a replica.
 
         One ranked above this instance may, and one among the first of the ranking whose
-        betters own earlier replicas of the shard. One ranked below may as well, unless
-        it was live while this instance was, for long enough to release everything.
+        betters own earlier replicas of the shard. Any other may as well, unless it was
+        live while this instance was and knew the same targets, for long enough to
+        release everything that it did not own.
         """
         last_live = self._last_live.get(name)
         record = self._members.record(name)
@@ -290,7 +291,8 @@
         place = ranking.index(record)
         below = self._members.myself in ranking[:place]
         passed_over = place <= len(self._directory.earlier_siblings(announcement))
-        unsettled = last_live - self._lease_since < _SETTLED
+        changed_at = self._directory.structure_changed_at(announcement.service)
+        unsettled = last_live - max(self._lease_since, changed_at) < _SETTLED
         return not below or passed_over or unsettled
 
     def _former(self, name: str) -> FormerOwner:
--- a/src/lovagetray/state/_directory.py
+++ b/src/lovagetray/state/_directory.py
@@ -48,6 +48,7 @@
         self._listings: dict[str, dict[str, Listing]] = {}
         self._layouts: dict[str, dict[int, Snapshot]] = {}
         self._structure = 0
+        self._structure_changed: dict[str, timedelta] = {}
         self._round_at: timedelta | None = None
         self._paused_at: timedelta | None = None
         self._grace_ends = timedelta(0)
@@ -88,7 +89,8 @@
         if known is None or _first_shard(known.announcement) != _first_shard(
             announcement
         ):
-            self._structure += 1
+            # A relayed announcement may have been heard up to one lifetime ago.
+            self._change_structure(announcement.service, heard_at + self._lifetime)
         listing = _next_listing(known, announcement, heard_at)
         self._listings.setdefault(announcement.service, {})[
             announcement.target
@@ -127,7 +129,7 @@
             for name in gone:
                 del listings[name]
             if gone:
-                self._structure += 1
+                self._change_structure(service, now)
                 self._forget_layouts(service)
         empty = [service for service, found in self._listings.items() if not found]
         for service in empty:
@@ -146,6 +148,10 @@
         for listings in self._listings.values():
             yield from listings.values()
 
+    def structure_changed_at(self, service: str) -> timedelta:
+        """Return when the targets of a service, or their shards, changed last."""
+        return self._structure_changed.get(service, timedelta(0))
+
     def earlier_siblings(self, announcement: Announcement) -> list[Announcement]:
         """Return the replicas of the same shard whose names come before this one's."""
         shard = _first_shard(announcement)
@@ -205,6 +211,10 @@
                 )
         return None
 
+    def _change_structure(self, service: str, at: timedelta) -> None:
+        self._structure += 1
+        self._structure_changed[service] = at
+
     def _forget_layouts(self, service: str) -> None:
         held = {
             holding.snapshot.version
