--- a/features/steps/target_pool_steps.py
+++ b/features/steps/target_pool_steps.py
@@ -135,6 +135,12 @@
     context.bench.cold = True
 
 
+@given("the target said that it is leaving before")
+def make_leaving(context: Context) -> None:
+    bench = context.bench
+    bench.announcement = bench.announcement._replace(state=TargetState.LEAVING)
+
+
 @when("{count:d} jobs of {work:d} ms are submitted with {left:d} ms left")
 def submit_jobs(context: Context, count: int, work: int, left: int) -> None:
     bench = context.bench
--- a/features/steps/target_process_steps.py
+++ b/features/steps/target_process_steps.py
@@ -123,11 +123,13 @@
     _check_invariants(context)
 
 
-@when("replica 0 of each shard sheds load during searches")
+@when("the replicas shed load in turn during searches")
 def shed(context: Context) -> None:
-    for target in _first_replicas(context):
+    context.results = []
+    for target in context.fleet.targets:
         context.fleet.control(target, fault="shed")
-    context.results = [_complete(context) for _ in range(20)]
+        context.results += [_complete(context) for _ in range(20)]
+        context.fleet.control(target, fault="")
 
 
 @then("no search was incomplete and a shed reply was counted")
--- a/features/target_pool.feature
+++ b/features/target_pool.feature
@@ -63,6 +63,14 @@
     Then the outcomes are "ok ok refused_by_target refused_by_target"
     And 2 connections of the replica were closed
 
+  Scenario: A new owner sends nothing to a target that is already leaving
+    # Guards against an owner that learns of a target only after its leaving notice.
+    Given a pool over a replica with 2 slots and 25 connections
+    And the target said that it is leaving before
+    When 1 jobs of 10 ms are submitted with 1000 ms left
+    And 100 ms pass
+    Then the outcomes are "refused_by_target"
+
   Scenario Outline: Silence on a reused connection
     # Guards against blaming a replica for a dead connection, and the reverse.
     Given a pool over a replica with 2 slots and 25 connections
--- a/features/target_processes.feature
+++ b/features/target_processes.feature
@@ -33,7 +33,7 @@
   Scenario: A target sheds load
     # Guards against blaming a replica for shedding, and against pressing on.
     Given 2 entry instances and a service of 1 shards with 2 replicas
-    When replica 0 of each shard sheds load during searches
+    When the replicas shed load in turn during searches
     Then no search was incomplete and a shed reply was counted
 
   Scenario: An owner stops in order
--- a/src/lovagetray/commands/membership/__init__.py
+++ b/src/lovagetray/commands/membership/__init__.py
@@ -6,8 +6,5 @@
     digest,
     newer_than,
 )
-from lovagetray.commands.membership._transfer import (
-    OwnershipTransfer,
-    PeerSender,
-    ReplicaUse,
-)
+from lovagetray.commands.membership._collaborators import PeerSender, ReplicaUse
+from lovagetray.commands.membership._transfer import OwnershipTransfer
--- a/src/lovagetray/commands/membership/_transfer.py
+++ b/src/lovagetray/commands/membership/_transfer.py
@@ -3,14 +3,12 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from itertools import count
-from typing import Protocol
 
 from structlog import get_logger
 
 from lovagetray._clock import Clock
 from lovagetray._peer_messages import (
     ClaimReplicas,
-    PeerMessage,
     ReleasedReplicas,
     ReplicaClaim,
 )
@@ -22,6 +20,7 @@
     FormerOwner,
     orphan_allowance,
 )
+from lovagetray.commands.membership._collaborators import PeerSender, ReplicaUse
 from lovagetray.queries.membership import owner_of, ownership_ranking
 from lovagetray.state import (
     Directory,
@@ -41,23 +40,6 @@
 _GIVEN_UP = Allowance(0, 0, orphaned=True, ready_in=timedelta(hours=1))
 
 
-class PeerSender(Protocol):
-    """Sends messages to other instances."""
-
-    async def send(self, name: str, message: PeerMessage) -> bool:
-        """Queue a message to a peer; return whether the peer is known."""
-
-
-class ReplicaUse(Protocol):
-    """What this instance does with replicas."""
-
-    def in_use(self, key: ReplicaKey) -> bool:
-        """Tell whether work is in flight at a replica or a connection to it open."""
-
-    async def release(self, key: ReplicaKey) -> None:
-        """Take no new work for a replica, finish what runs and close connections."""
-
-
 class OwnershipTransfer:
     """Claims the replicas that this instance owns and releases the others.
 
@@ -156,6 +138,8 @@
         self, sender: InstanceId, message: ClaimReplicas, use: ReplicaUse
     ) -> None:
         """Release what another instance claims, unless this one goes before it."""
+        # Only a lease holder claims, also one that is missing on an outdated list here.
+        self._last_live[sender.name] = self._clock.elapsed()
         for asked in message.claims:
             key = ReplicaKey(asked.service, asked.target)
             if self._goes_before(sender, key):
@@ -207,6 +191,8 @@
         unseen = self._lease_at is None or now - self._lease_at > _LONGEST_GAP
         if self._lease_since is None or unseen:
             self._lease_since = now
+            # Others may have held leases, and lost them, while this one had none.
+            self._last_live = dict.fromkeys(self._others(), now)
             for key, claim in list(self._claims.items()):
                 kept = claim.complete or claim.kept
                 self._claims[key] = self._new_claim(key, kept)
@@ -235,7 +221,7 @@
         claim = Claim(key, next(self._numbers), kept)
         live = self._lease.live() or frozenset()
         listing = self._directory.listing(key.service, key.target)
-        for name in {*self._peer_names(), *live, *self._last_live} - {self._own_name}:
+        for name in self._others() | live - {self._own_name}:
             if name in live:
                 claim.awaiting.add(name)
             elif listing is None or self._may_have_owned(listing.announcement, name):
@@ -284,6 +270,10 @@
         ranking = ownership_ranking(announcement, [self._members.myself, record])
         return ranking[0] == record or last_live - self._lease_since < _SETTLED
 
+    def _others(self) -> set[str]:
+        """Return the names of all other instances that are known."""
+        return {*self._peer_names(), *self._last_live} - {self._own_name}
+
     def _former(self, name: str) -> FormerOwner:
         record = self._members.record(name)
         lease_ends = self._last_live.get(name, self._started_at) + LEASE_ENDED
--- a/src/lovagetray/targets/_pool.py
+++ b/src/lovagetray/targets/_pool.py
@@ -70,6 +70,7 @@
         self._draining = False
         self._releasing = False
         self._closed = False
+        self.update(listing)
 
     @property
     def announcement(self) -> Announcement:
