--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -26,6 +26,11 @@
     Then the other search succeeded and no slot stays in use
     And a cancel sent together with its search follows it
 
+  Scenario: An owner with an outdated list does not take a replica back
+    # Guards against two full owners when one has not got the newest list yet.
+    When an owner releases a replica to a claimer that is not on its list
+    Then it uses no slot of the replica for the rest of its lease
+
   Scenario: A replica that was released can be owned again
     # Guards against a drained pool that refuses all work of its next ownership.
     When a replica is released during a job and gets another job later
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -17,12 +17,16 @@
     AgedAnnouncement,
     Announced,
     CancelSubRequests,
+    ClaimReplicas,
+    Envelope,
+    ReplicaClaim,
     RunSubRequests,
 )
 from lovagetray._telemetry import RELAYS_REFUSED
 from lovagetray._types import Allowance, ExecuteRequest, ReplicaKey, SubRequest
 from lovagetray._violations import Violations
 from lovagetray.commands.membership import OwnershipTransfer, accept_relayed
+from lovagetray.queries.membership import owner_of
 from lovagetray.state import Directory
 from lovagetray.targets import Execute, Job, PoolTools, ReplicaPools
 from lovagetray.wire._peers import join_messages
@@ -116,6 +120,40 @@
     assert joined == [run_it, cancel], joined
 
 
+async def _claim_back() -> list[int]:
+    names, network, slots = ["entry-0", "entry-1"], FakeNetwork(), []
+    announcement = make_announcement("portal-0", 2, 25)
+    both = [FakeInstance(name, 1, names, network, {}) for name in names]
+    records = [one.members.myself for one in both]
+    first = owner_of(announcement, records)
+    claimer, owner = sorted(both, key=lambda one: one.members.myself != first)
+    claim = ReplicaClaim(_SERVICE, "portal-0", 1)
+    envelope = Envelope(claimer.members.myself.instance, ClaimReplicas((claim,)))
+    async with TaskGroup(wait=None) as group:
+        await group.spawn(owner.run)
+        await sleep(0)
+        await owner.announce(announcement)
+        owner.members.saw(claimer.members.myself, owner.clock.elapsed())
+        for tick in range(50):
+            owner.lease.take(frozenset([owner.name]), owner.clock.elapsed())
+            await sleep(0.1)
+            if tick == 30:
+                await owner.targets.handle(envelope)
+            slots.append(owner.targets._ownership.allowance(announcement).slots)
+    return slots
+
+
+@when("an owner releases a replica to a claimer that is not on its list")
+def claim_back(context: Context) -> None:
+    context.slots = run_virtual(_claim_back)
+
+
+@then("it uses no slot of the replica for the rest of its lease")
+def check_not_back(context: Context) -> None:
+    assert context.slots[29] == 1, "the owner held the replica before"
+    assert not any(context.slots[31:]), context.slots
+
+
 async def _release_during_job() -> list[Any]:
     clock, inbox = SystemClock(), Queue()
     directory = Directory(_seconds(60))
