--- a/features/fakes/agreement_cluster.py
+++ b/features/fakes/agreement_cluster.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from datetime import timedelta
 from random import Random
 from typing import Any, NamedTuple
 
@@ -35,7 +36,12 @@
 
     replica_type: type[Replica] = Replica
     store_type: type[Store] = Store
-    settings: AgreementSettings = AgreementSettings()
+    settings: AgreementSettings = AgreementSettings(
+        snapshot_every=15,
+        batch_bytes=400,
+        chunk_bytes=150,
+        retention=timedelta(seconds=20),
+    )
 
 
 class Instance:
@@ -45,7 +51,6 @@
         self.name = name
         self.durable = durable
         self.host = Host(Random(cluster.random.random()))
-        self.clock = HostClock(self.host)
         self.store = cluster.parts.store_type(self.host.random)
         self.violations = Violations()
         self.agreement: Agreement | None = None
@@ -90,7 +95,7 @@
             self.name,
             cluster.founders,
             self.durable,
-            self.clock,
+            HostClock(self.host),
             SessionLink(cluster.network, self.name, session),
             cluster.parts.settings,
             self.violations,
@@ -141,6 +146,7 @@
         async with TaskGroup() as group:
             for one in work:
                 await group.spawn(one)
+        self.model.finish()
         for instance in self.instances.values():
             await instance.stop()
         await network.cancel()
@@ -184,7 +190,9 @@
     async def settle(self) -> None:
         """End all faults and wait until every instance holds the same state."""
         self.network.cuts.clear()
+        self.network.appends_to_cut.clear()
         self.network.loss = self.network.doubling = 0.0
+        self.network.longest_delay = 0.005
         for instance in list(self.instances.values()):
             instance.host.frozen_until = 0.0
             if instance.session is not None:
@@ -193,11 +201,10 @@
                 await instance.start()
         for _ in range(300):
             await sleep(0.1)
-            if self._settled():
+            if self._settled() or self.find_problems():
                 break
         else:
             self.model.report(f"no agreement 30 s after the last fault: {self._view()}")
-        self.model.finish()
 
     def _settled(self) -> bool:
         agreements = [instance.agreement for instance in self.instances.values()]
--- a/features/fakes/agreement_parts.py
+++ b/features/fakes/agreement_parts.py
@@ -1,7 +1,7 @@
 """A network, disks and clocks that fail in every way the replicated log must bear."""
 
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from datetime import datetime, timedelta, timezone
 from heapq import heappop, heappush
 from itertools import count
@@ -12,7 +12,7 @@
 from expression import Error, Ok, Result
 
 from lovagetray._errors import TimedOut
-from lovagetray._peer_messages import AgreementMessage, Envelope
+from lovagetray._peer_messages import AgreementMessage, AppendEntries, Envelope
 from lovagetray._types import InstanceId
 from lovagetray.wire import decode_envelope, encode_envelope
 
@@ -44,25 +44,30 @@
 
 
 class HostClock:
-    """A clock with an error; its tasks stand still while the host is frozen."""
+    """A clock with an error; its tasks stand still while the host is frozen.
+
+    It keeps the error that the host had when the process started.
+    """
 
     def __init__(self, host: Host) -> None:
         self._host = host
+        self._rate = host.rate
+        self._offset = host.offset
 
     def now(self) -> datetime:
         return _EPOCH + timedelta(seconds=time.monotonic() + self._host.wall_error)
 
     def elapsed(self) -> timedelta:
-        return timedelta(seconds=self._host.offset + time.monotonic() * self._host.rate)
+        return timedelta(seconds=self._offset + time.monotonic() * self._rate)
 
     async def sleep(self, duration: timedelta) -> None:
-        await sleep(max(0.0, duration.total_seconds() / self._host.rate))
+        await sleep(max(0.0, duration.total_seconds() / self._rate))
         await self._host.gate()
 
     async def within(
         self, limit: timedelta, work: Awaitable[Any]
     ) -> Result[Any, TimedOut]:
-        seconds = max(0.0, limit.total_seconds() / self._host.rate)
+        seconds = max(0.0, limit.total_seconds() / self._rate)
         try:
             done = Ok(await timeout_after(seconds, work))
         except TaskTimeout:
@@ -210,9 +215,23 @@
         self.doubling = 0.0
         self.longest_delay = 0.005
         self.cuts: set[tuple[str, str]] = set()
+        self.appends_to_cut: dict[str, int] = {}
+
+    def cut_off(self, name: str, others: Iterable[str]) -> None:
+        """Cut an instance off from others in both directions."""
+        for other in others:
+            if other != name:
+                self.cuts |= {(name, other), (other, name)}
 
     async def send(self, sender: str, name: str, message: AgreementMessage) -> None:
         self._tap(sender, message)
+        match message:
+            case AppendEntries(entries=[_, *_]) if sender in self.appends_to_cut:
+                self.appends_to_cut[sender] -= 1
+                if self.appends_to_cut[sender] <= 0:
+                    others = list(self.appends_to_cut)
+                    del self.appends_to_cut[sender]
+                    self.cut_off(sender, others)
         if (sender, name) in self.cuts or self._random.random() < self.loss:
             return
         copies = 2 if self._random.random() < self.doubling else 1
--- a/features/fakes/agreement_runs.py
+++ b/features/fakes/agreement_runs.py
@@ -1,24 +1,17 @@
 """Randomised runs of the replicated log, each reproducible from its seed."""
 
-from datetime import timedelta
-from random import Random
 import time
+from random import Random
 from typing import NamedTuple
 
 from curio import sleep
 from expression import Result
 from fakes.agreement_cluster import Cluster, Instance, Parts
+from fakes.agreement_parts import HostClock
 from fakes.virtual_time import run_virtual
 
 from lovagetray._errors import Failure
-from lovagetray.commands.agreement import AgreementSettings, Proposal
-
-_SETTINGS = AgreementSettings(
-    snapshot_every=15,
-    batch_bytes=400,
-    chunk_bytes=150,
-    retention=timedelta(seconds=20),
-)
+from lovagetray.commands.agreement import Proposal
 
 
 class Plan(NamedTuple):
@@ -32,15 +25,20 @@
         Virtual time until all faults end.
     pause
         Longest virtual time between two faults, in seconds.
+    voters, learners
+        How many instances to choose from.
     """
 
     faults: tuple[str, ...]
     seconds: float = 30.0
     pause: float = 1.5
+    voters: tuple[int, ...] = (3, 3, 5)
+    learners: tuple[int, ...] = (0, 1, 2)
 
 
 EVERYTHING = Plan(
     ("crash", "crash_at_sync", "crash_at_sync", "freeze", "cut", "cut", "cut_one_way")
+    + ("cut_at_append",)
     + ("heal", "heal", "noise", "lose_disk", "hand_over", "join", "add", "remove")
 )
 
@@ -55,7 +53,6 @@
 
 def run_seed(seed: int, plan: Plan = EVERYTHING, parts: Parts = Parts()) -> RunReport:
     """Run a cluster in virtual time and compare it with a single copy."""
-    parts = parts._replace(settings=_SETTINGS)
     run = _Run(seed, plan, parts)
     run_virtual(run.all)
     cluster = run.cluster
@@ -76,8 +73,8 @@
         self._over = False
 
     async def all(self) -> None:
-        voters = self._random.choice((3, 3, 5))
-        learners = self._random.choice((0, 1, 2))
+        voters = self._random.choice(self._plan.voters)
+        learners = self._random.choice(self._plan.learners)
         clients = [self._propose] * 3
         await self.cluster.run(voters, learners, self._disturb, *clients)
 
@@ -99,7 +96,7 @@
         if self._proposals and chance < 0.3:
             return self._random.choice(self._proposals[-40:])
         number = len(self._proposals)
-        request_id, at = f"r{number}", instance.clock.now()
+        request_id, at = f"r{number}", HostClock(instance.host).now()
         if self._proposals and chance < 0.35:
             request_id, at, _ = self._random.choice(self._proposals[-40:])
         proposal = Proposal(request_id, at, b"body %d" % number)
@@ -116,7 +113,7 @@
     async def _disturb(self) -> None:
         cluster, random = self.cluster, self._random
         left = self._plan.seconds
-        while left > 0:
+        while left > 0 and not cluster.find_problems():
             pause = random.uniform(0.05, self._plan.pause)
             left -= pause
             await sleep(pause)
@@ -145,16 +142,19 @@
             case "freeze":
                 await self._freeze(victim)
             case "cut":
-                network.cuts |= {(victim.name, name) for name in others}
-                network.cuts |= {(name, victim.name) for name in others}
+                network.cut_off(victim.name, others)
             case "cut_leader" if leader is not None:
-                names = [name for name in cluster.instances if name != leader.name]
-                network.cuts |= {(leader.name, name) for name in names}
-                network.cuts |= {(name, leader.name) for name in names}
+                network.cut_off(leader.name, cluster.instances)
+            case "cut_at_append":
+                for name in cluster.instances:
+                    network.appends_to_cut[name] = random.randint(1, 8)
             case "cut_one_way":
                 network.cuts.add((victim.name, random.choice(others)))
             case "heal":
                 network.cuts.clear()
+                network.appends_to_cut.clear()
+            case "heal_cuts":
+                network.cuts.clear()
             case "noise":
                 network.loss = random.choice((0.0, 0.02, 0.2))
                 network.doubling = random.choice((0.0, 0.1))
--- a/src/lovagetray/_peer_messages.py
+++ b/src/lovagetray/_peer_messages.py
@@ -173,13 +173,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardProposal:
-    """A proposal for the leader of `term`.
+    """A proposal for the leader."""
 
-    The term makes a refusal final: a late copy of the message cannot be appended after
-    the sender was told that nothing was.
-    """
-
-    term: int
     proposal: Proposal
 
 
--- a/src/lovagetray/commands/agreement/_outcomes.py
+++ b/src/lovagetray/commands/agreement/_outcomes.py
@@ -37,15 +37,15 @@
 
     def known(self, proposal: Proposal) -> Result[bytes, Failure] | None:
         """Return the outcome that a proposal has already, or None if it is new."""
-        record = self._records.get(proposal.request_id)
-        if record is not None:
-            if record.digest != proposal.digest:
-                return Error(RequestIdConflict(proposal.request_id))
-            return Ok(record.reply)
         if self._latest_at is not None:
             if proposal.at <= self._latest_at - self._retention:
                 return Error(ProposalTimeRefused(proposal.request_id))
-        return None
+        record = self._records.get(proposal.request_id)
+        if record is None:
+            return None
+        if record.digest != proposal.digest:
+            return Error(RequestIdConflict(proposal.request_id))
+        return Ok(record.reply)
 
     def record(self, proposal: Proposal, reply: bytes) -> None:
         """Keep the first outcome of a proposal and forget those past retention."""
--- a/src/lovagetray/commands/agreement/_proposals.py
+++ b/src/lovagetray/commands/agreement/_proposals.py
@@ -1,6 +1,7 @@
 """Takes proposals on any instance and follows them to their outcome."""
 
 from datetime import timedelta
+from enum import Enum
 from typing import NamedTuple
 
 from curio import Queue
@@ -31,19 +32,24 @@
 _NO_TIME = timedelta(0)
 
 
+class Sent(Enum):
+    """Where an attempt went."""
+
+    NOWHERE = "nowhere"
+    TO_OWN_LOG = "to_own_log"
+    TO_PEER = "to_peer"
+
+
 class Submission(NamedTuple):
     """A proposal on its way into the log.
 
     Parameters
     ----------
-    term
-        The term of the leader that it was meant for.
     origin
         The instance that forwarded it, or None for this one.
     """
 
     proposal: Proposal
-    term: int
     origin: str | None
 
 
@@ -87,7 +93,7 @@
 
     async def take_forwarded(self, sender: str, message: ForwardProposal) -> None:
         """Queue a proposal that another instance forwarded."""
-        submission = Submission(message.proposal, message.term, sender)
+        submission = Submission(message.proposal, sender)
         await self._submitted.put(submission)
 
     async def take_accepted(self, message: ProposalAccepted) -> None:
@@ -130,7 +136,10 @@
             if known is not None:
                 return known
             sent = await self._send_to_leader(proposal)
-            wait = settings.resend if sent else settings.heartbeat
+            # A link may deliver a second copy that is refused after the first one was
+            # appended, so the refusal of a forwarded proposal proves nothing.
+            maybe_appended = maybe_appended or sent is Sent.TO_PEER
+            wait = settings.heartbeat if sent is Sent.NOWHERE else settings.resend
             match await clock.within(min(left, wait), answers.get()):
                 case Result(tag="ok", ok=Result(tag="ok", ok=reply)):
                     return Ok(reply)
@@ -143,23 +152,22 @@
                 case Result(tag="ok", ok=Result(error=failure)):
                     return Error(failure)
                 case _:
-                    maybe_appended = maybe_appended or sent
+                    maybe_appended = maybe_appended or sent is Sent.TO_OWN_LOG
         if maybe_appended:
             return Error(ProposalUnconfirmed(proposal.request_id))
         return Error(refusal)
 
-    async def _send_to_leader(self, proposal: Proposal) -> bool:
-        """Send or submit a proposal; return False if there is no leader to take it."""
+    async def _send_to_leader(self, proposal: Proposal) -> Sent:
+        """Submit a proposal here if this instance leads, or forward it."""
         replica = self._replica
-        leader, term = replica.leader, replica.log.term
+        leader = replica.leader
         if leader is None:
-            return False
+            return Sent.NOWHERE
         if leader == replica.surroundings.name:
-            await self._submitted.put(Submission(proposal, term, None))
-        else:
-            message = ForwardProposal(term, proposal)
-            await replica.surroundings.link.send(leader, message)
-        return True
+            await self._submitted.put(Submission(proposal, None))
+            return Sent.TO_OWN_LOG
+        await replica.surroundings.link.send(leader, ForwardProposal(proposal))
+        return Sent.TO_PEER
 
     async def _write(self, batch: list[Submission]) -> None:
         replica = self._replica
@@ -188,14 +196,13 @@
         if known is not None:
             return known
         match replica.role:
-            case Leading() as leading if submission.term == replica.log.term:
+            case Leading() as leading:
                 pass
             case _:
                 return Error(NotLeader(replica.leader or ""))
         if leading.handing_over:
             return Error(NoLeader())
         if not replica.has_quorum(leading):
-            # A refusal must be final, so this term takes no proposal any more.
             replica.stop_leading()
             return Error(QuorumLost())
         clock, settings = replica.surroundings.clock, replica.surroundings.settings
--- a/src/lovagetray/commands/agreement/_replication.py
+++ b/src/lovagetray/commands/agreement/_replication.py
@@ -40,12 +40,15 @@
         log, settings = self._replica.log, self._replica.surroundings.settings
         progress = leading.progress(name)
         beat = self._replica.leader_beat(leading, name)
+        progress.sent_at = beat.sent_at
         if progress.next_index <= log.base_index:
-            if progress.chunk_index != log.base_index:
+            if progress.chunk_index < progress.next_index:
                 progress.chunk_index, progress.chunk_offset = log.base_index, 0
-            encoded, start = log.encoded_snapshot, progress.chunk_offset
-            part = encoded[start : start + settings.chunk_bytes]
-            return SnapshotChunk(beat, log.base_index, start, len(encoded), part)
+                progress.chunk_source = log.encoded_snapshot
+            source, start = progress.chunk_source, progress.chunk_offset
+            part = source[start : start + settings.chunk_bytes]
+            return SnapshotChunk(beat, progress.chunk_index, start, len(source), part)
+        progress.chunk_source = b""
         previous = progress.next_index - 1
         entries = log.entries_from(progress.next_index, settings.batch_bytes)
         # The next batch follows at once; a lost one is found by the next heartbeat.
@@ -67,7 +70,10 @@
             matched = leading.matched.get(voter, 0)
             retry = min(progress.next_index, reply.index + 1)
             progress.next_index = max(retry, matched + 1)
-        if progress.next_index <= self._replica.log.last_index:
+        more = progress.next_index <= self._replica.log.last_index
+        # Only the newest message may be tried again at once: every heartbeat would
+        # otherwise start one more exchange with a peer that keeps refusing.
+        if more and (reply.accepted or reply.beat.answers == progress.sent_at):
             await self._replica.wake_peer(sender)
 
     async def collected(self, sender: str, reply: SnapshotReply) -> None:
@@ -76,9 +82,14 @@
         if leading is None:
             return
         progress = leading.progress(sender)
-        if progress.chunk_index == reply.index:
+        if progress.chunk_index != reply.index:
+            return
+        if reply.offset > progress.chunk_offset:
             progress.chunk_offset = reply.offset
             await self._replica.wake_peer(sender)
+        elif reply.beat.answers == progress.sent_at:
+            # The peer restarted and holds less; the next heartbeat continues there.
+            progress.chunk_offset = reply.offset
 
     async def advance_commit(self) -> None:
         """Commit what a majority of voters has synced."""
--- a/src/lovagetray/commands/agreement/_roles.py
+++ b/src/lovagetray/commands/agreement/_roles.py
@@ -16,21 +16,26 @@
     ----------
     next_index
         The first entry that was not sent yet.
+    sent_at
+        When the newest message was sent, on the leader's monotonic clock.
     heard_at
         When any reply of this term came, on the leader's monotonic clock.
     confirmed
         The newest stamp in a reply.
-    chunk_index, chunk_offset
-        The snapshot that is being sent and how many of its bytes the peer holds.
+    chunk_index, chunk_source, chunk_offset
+        The snapshot that is being sent and how many of its bytes the peer holds. A
+        newer one does not replace it, or a slow transfer would never end.
     """
 
     next_index: int
+    sent_at: timedelta | None = None
     voter: Voter | None = None
     durable: bool = False
     applied: int = 0
     heard_at: timedelta | None = None
     confirmed: Stamp | None = None
     chunk_index: int = 0
+    chunk_source: bytes = b""
     chunk_offset: int = 0
 
 
@@ -60,8 +65,8 @@
     in_flight
         Proposals that were appended in this term and not applied yet.
     handing_over
-        Set before another instance may be elected early; never cleared in a term, so
-        that a refused proposal stays refused and no current read is answered.
+        Set before another instance may be elected early; never cleared in a term,
+        because this instance cannot answer current reads any more.
     """
 
     since: timedelta
