Replicated log: bound the cost of lease checks, and pauses of the leader

- The newest voter set was found by a scan of the log on each lease check; the entries with voter sets are kept apart now.
- A leader that was paused dropped every instance from the live list when it went on.
It listens for the length of a silence first.
- The request to take over is repeated until the heir leads, as it can be lost.
- Runs damage logs in the middle; the instance must refuse them and rejoin as a new member.

--- a/features/fakes/agreement_cluster.py
+++ b/features/fakes/agreement_cluster.py
@@ -25,6 +25,7 @@
 from lovagetray.commands.agreement import (
     Agreement,
     AgreementSettings,
+    DurableLog,
     Replica,
     Surroundings,
 )
@@ -55,6 +56,7 @@
         self.violations = Violations()
         self.agreement: Agreement | None = None
         self.session: Session | None = None
+        self.damaged = self.damage_found = False
         self._cluster = cluster
         self._task: Any = None
 
@@ -65,9 +67,9 @@
 
     @property
     def identity(self) -> Voter | None:
-        """The identity on the disk."""
+        """The identity on the disk, unless its log is damaged."""
         vote = self.store.durable.get("vote")
-        if vote is None:
+        if vote is None or self.damaged:
             return None
         return Voter(self.name, decode_vote(vote).ok.incarnation)
 
@@ -102,6 +104,8 @@
             Random(self.host.random.random()),
         )
         disk = SessionDisk(self.store, session) if self.durable else None
+        if disk is not None and self.damaged:
+            await self._start_over(disk)
         machine = ChainMachine(cluster.model)
         opened = await Agreement.open(
             surroundings, disk, machine, cluster.parts.replica_type
@@ -117,6 +121,18 @@
             case Result(error=failure):
                 cluster.model.report(f"{self.name}: {failure}")
 
+    async def _start_over(self, disk: SessionDisk) -> None:
+        """Check that the damage is found and come back as a new member."""
+        if not self.damage_found:
+            opened = await DurableLog.open(disk, lambda: "unused")
+            if opened.is_ok():
+                self._cluster.model.report(f"{self.name} opened a damaged log")
+            self._cluster.counts["damaged logs"] += 1
+            self.damage_found = True
+        incarnation = f"{self.host.random.getrandbits(64):016x}"
+        await DurableLog.start_over(disk, incarnation)
+        self.damaged = self.damage_found = False
+
 
 class Cluster:
     """Instances that share a network and are compared with one model."""
--- a/features/fakes/agreement_parts.py
+++ b/features/fakes/agreement_parts.py
@@ -118,6 +118,15 @@
         self.current = dict(self.durable)
         self._replaced.clear()
 
+    def damage(self) -> bool:
+        """Change a byte of a log record before another; return False without one."""
+        data = bytearray(self.durable.get("log", b""))
+        if data.count(b"LTr1") < 2:
+            return False
+        data[self._random.randrange(4, data.rindex(b"LTr1"))] ^= 0x10
+        self.durable["log"] = self.current["log"] = bytes(data)
+        return True
+
     def lose(self) -> None:
         """Forget everything, as a replaced disk does."""
         self.durable, self.current = {}, {}
--- a/features/fakes/agreement_runs.py
+++ b/features/fakes/agreement_runs.py
@@ -38,7 +38,7 @@
 
 EVERYTHING = Plan(
     ("crash", "crash_at_sync", "crash_at_sync", "freeze", "cut", "cut", "cut_one_way")
-    + ("cut_at_append",)
+    + ("cut_at_append", "damage")
     + ("heal", "heal", "noise", "lose_disk", "hand_over", "join", "add", "remove")
 )
 
@@ -168,6 +168,9 @@
                 cluster.counts["lost disks"] += 1
                 await victim.stop()
                 victim.store.lose()
+            case "damage" if victim.durable and cluster.spare_disk(victim.name):
+                await victim.stop()
+                victim.damaged = victim.store.damage()
             case _:
                 await self._operate(fault, leader)
 
@@ -185,8 +188,9 @@
                 done = await leader.running.hand_over()
                 cluster.counts[f"hand over {done.tag}"] += 1
             case "add" if leader is not None and leader.running:
-                name = random.choice(list(cluster.instances))
-                done = await leader.running.add_voter(name)
+                voting = leader.running.voters.names
+                names = [name for name in cluster.instances if name not in voting]
+                done = await leader.running.add_voter(random.choice(names or ["none"]))
                 cluster.counts[f"add voter {done.tag}"] += 1
             case "remove" if leader is not None and leader.running:
                 names = leader.running.voters.names
--- a/src/lovagetray/commands/agreement/_durable_log.py
+++ b/src/lovagetray/commands/agreement/_durable_log.py
@@ -42,6 +42,8 @@
         self._snapshot = snapshot
         self._encoded_snapshot = b"" if snapshot is None else encode_snapshot(snapshot)
         self._entries: list[Entry] = []
+        # Kept apart because every lease check needs the newest voter set.
+        self._voter_entries: list[Entry] = []
         self._synced_index = self.base_index
 
     @classmethod
@@ -159,14 +161,12 @@
     @property
     def voters_index(self) -> int:
         """The index of the entry with the newest voter set."""
-        for entry in reversed(self._entries):
-            if entry.voters is not None:
-                return entry.log_index
-        return self.base_index
+        entries = self._voter_entries
+        return entries[-1].log_index if entries else self.base_index
 
     def voters_at(self, index: int) -> VoterSet:
         """Return the voter set in force at an index."""
-        for entry in reversed(self._entries):
+        for entry in reversed(self._voter_entries):
             if entry.voters is not None and entry.log_index <= index:
                 return entry.voters
         return VoterSet() if self._snapshot is None else self._snapshot.voters
@@ -214,9 +214,9 @@
         The entries are readable at once, so that they can be sent during the sync.
         """
         first = entries[0].log_index
-        del self._entries[first - self.base_index - 1 :]
+        kept = self._entries[: first - self.base_index - 1]
         self._synced_index = min(self._synced_index, first - 1)
-        self._entries.extend(entries)
+        self._hold([*kept, *entries])
         await self._disk.append(_LOG, encode_entries(entries))
         await self._disk.sync(_LOG)
         self._synced_index = entries[-1].log_index
@@ -232,10 +232,14 @@
             kept = self._entries[index - self.base_index :]
         self._snapshot = snapshot
         self._encoded_snapshot = encoded
-        self._entries = kept
+        self._hold(kept)
         self._synced_index = self.last_index
         await self._rewrite()
 
+    def _hold(self, entries: list[Entry]) -> None:
+        self._entries = entries
+        self._voter_entries = [entry for entry in entries if entry.voters is not None]
+
     async def _rewrite(self) -> None:
         data = encode_entries(self._entries) if self._entries else b""
         await self._disk.replace(_LOG, data)
@@ -258,7 +262,7 @@
         if at_base is not None and at_base.term != self.term_at(base):
             # A crash between the two steps of installing a snapshot left these.
             return True
-        self._entries = [history[index] for index in sorted(history) if index > base]
+        self._hold([history[index] for index in sorted(history) if index > base])
         if self._entries and self._entries[0].log_index != base + 1:
             return False
         self._synced_index = self.last_index
--- a/src/lovagetray/commands/agreement/_election.py
+++ b/src/lovagetray/commands/agreement/_election.py
@@ -54,8 +54,9 @@
 
     async def urge(self, message: TakeOver) -> None:
         """Stand for election at once because the leader asks for it."""
-        self._urged_term = message.term
-        await self._urged.set()
+        if message.term == self._replica.log.term:
+            self._urged_term = message.term
+            await self._urged.set()
 
     async def _keep_leading(self, leading: Leading) -> None:
         replica = self._replica
--- a/src/lovagetray/commands/agreement/_following.py
+++ b/src/lovagetray/commands/agreement/_following.py
@@ -165,5 +165,6 @@
         shortest = replica.surroundings.settings.shortest_election
         match replica.role:
             case Leading() as leading:
-                return now - replica.quorum_contact(leading) < shortest
+                contact = replica.quorum_contact(leading, leading.since)
+                return now - contact < shortest
         return now - replica.heard_at < shortest
--- a/src/lovagetray/commands/agreement/_membership.py
+++ b/src/lovagetray/commands/agreement/_membership.py
@@ -18,7 +18,7 @@
 from lovagetray.commands.agreement._roles import Leading
 
 ChangeFailure = MembershipChangeRefused | NotLeader | ProposalUnconfirmed
-_STEP = timedelta(milliseconds=20)
+_STEP = timedelta(milliseconds=100)
 
 
 class Membership:
@@ -89,11 +89,9 @@
             return Error(NoLeader())
         leading.handing_over = True
         deadline = surroundings.clock.elapsed() + 2 * surroundings.settings.lease
-        asked = False
         while replica.role is leading and surroundings.clock.elapsed() < deadline:
-            if not asked and leading.matched.get(heir, 0) == replica.log.last_index:
+            if leading.matched.get(heir, 0) == replica.log.last_index:
                 await surroundings.link.send(heir.name, TakeOver(replica.log.term))
-                asked = True
             await surroundings.clock.sleep(_STEP)
         if replica.role is leading:
             async with replica.lock:
--- a/src/lovagetray/commands/agreement/_replica.py
+++ b/src/lovagetray/commands/agreement/_replica.py
@@ -27,6 +27,7 @@
 _log = get_logger()
 # Clocks of two instances may differ in speed by this share of a lease.
 _CLOCK_MARGIN = 1.1
+_LONG_AGO = timedelta(days=-1)
 
 
 class Surroundings(NamedTuple):
@@ -159,7 +160,8 @@
         """
         index = self.log.last_index + 1
         kind = EntryKind.TERM_START if founding is None else EntryKind.VOTERS
-        leading = Leading(self.surroundings.clock.elapsed(), index, self._live)
+        now = self.surroundings.clock.elapsed()
+        leading = Leading(now, index, self._live, now, now)
         self._role = leading
         _log.info("leadership_started", term=self.log.term, index=index)
         await self.append(leading, [Entry(index, self.log.term, kind, None, founding)])
@@ -227,36 +229,51 @@
             Stamp(self._run, self.surroundings.clock.elapsed()),
         )
 
-    def quorum_contact(self, leading: Leading) -> timedelta:
+    def quorum_contact(self, leading: Leading, unheard: timedelta) -> timedelta:
         """Return since when a majority is known to have answered this leader.
 
         A majority of voters answered a message sent at that time or later, so none of
         them can have supported another leader before.
+
+        Parameters
+        ----------
+        unheard
+            The time to count for voters that have not answered in this term.
         """
         voters = self.log.voters.voters
         now = self.surroundings.clock.elapsed()
         times = [
-            now if voter == self.me else leading.contacted.get(voter, leading.since)
+            now if voter == self.me else leading.contacted.get(voter, unheard)
             for voter in voters
         ]
         return sorted(times, reverse=True)[len(voters) // 2]
 
     def refresh_live(self, leading: Leading) -> None:
-        """Update the live list; a new leader keeps the old one for one lease."""
+        """Update the live list; a new leader keeps the old one for one lease.
+
+        A leader that was itself paused drops nobody until it has listened again for
+        as long as an instance may be silent.
+        """
         now = self.surroundings.clock.elapsed()
         settings = self.surroundings.settings
+        if now - leading.watched_at > 2 * settings.heartbeat:
+            leading.watching_since = now
+        leading.watched_at = now
         if now - leading.since < settings.lease * _CLOCK_MARGIN:
             return
-        heard = [
-            name
-            for name, peer in leading.peers.items()
-            if peer.heard_at is not None and now - peer.heard_at <= settings.silence
-        ]
+        heard = []
+        for name, peer in leading.peers.items():
+            heard_at = peer.heard_at or _LONG_AGO
+            if name in leading.live:
+                heard_at = max(heard_at, leading.watching_since)
+            if now - heard_at <= settings.silence:
+                heard.append(name)
         leading.live = tuple(sorted({self.surroundings.name, *heard}))
 
     def has_quorum(self, leading: Leading) -> bool:
         """Tell whether a majority answered this leader within one lease."""
-        age = self.surroundings.clock.elapsed() - self.quorum_contact(leading)
+        contact = self.quorum_contact(leading, leading.since)
+        age = self.surroundings.clock.elapsed() - contact
         return age < self.surroundings.settings.lease
 
     def lease_valid(self) -> bool:
@@ -275,7 +292,8 @@
         """Tell whether the applied state holds everything accepted anywhere."""
         match self._role:
             case Leading(handing_over=False) as leading:
-                age = self.surroundings.clock.elapsed() - self.quorum_contact(leading)
+                contact = self.quorum_contact(leading, _LONG_AGO)
+                age = self.surroundings.clock.elapsed() - contact
                 return (
                     age < self.read_lease
                     and self._commit_index >= leading.first_index
--- a/src/lovagetray/commands/agreement/_roles.py
+++ b/src/lovagetray/commands/agreement/_roles.py
@@ -56,6 +56,8 @@
         When the election was won, on the monotonic clock.
     first_index
         The index of the first entry of the term.
+    watched_at, watching_since
+        When the live list was last looked after, and since when without a pause.
     matched
         The last index that is synced at each instance.
     contacted
@@ -72,6 +74,8 @@
     since: timedelta
     first_index: int
     live: tuple[str, ...]
+    watched_at: timedelta
+    watching_since: timedelta
     peers: dict[str, PeerProgress] = field(default_factory=dict)
     matched: dict[Voter, int] = field(default_factory=dict)
     contacted: dict[Voter, timedelta] = field(default_factory=dict)
