--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -38,12 +38,17 @@
     Then the log is refused as corrupt
     And it starts over under another identity
 
-  Scenario: A log file that is missing beside a vote is refused
+  Scenario Outline: A file that is missing beside a vote is refused
     Guards against a voter that forgets its log but keeps its identity.
     Given a log with 3 synced entries
-    When the log file is removed
+    When the <file> file is removed
     Then the log is refused as corrupt
 
+    Examples:
+      | file     |
+      | log      |
+      | snapshot |
+
   Scenario: A folder keeps the log over a restart
     Given a log in a folder with 3 synced entries
     When the log is opened again
--- a/features/fakes/agreement_broken.py
+++ b/features/fakes/agreement_broken.py
@@ -6,9 +6,9 @@
 from fakes.agreement_parts import Store
 from fakes.agreement_runs import Plan
 
-from lovagetray._log_entries import VoteRecord
+from lovagetray._log_entries import LogSnapshot, VoteRecord, VoterSet
 from lovagetray.commands.agreement import Replica
-from lovagetray.wire import decode_vote, encode_vote
+from lovagetray.wire import decode_vote, encode_snapshot, encode_vote
 
 
 class ForgetsVotes(Store):
@@ -35,7 +35,8 @@
         super().lose()
         if vote is not None:
             kept = VoteRecord(decode_vote(vote).ok.incarnation, 0, None)
-            self.durable = {"vote": encode_vote(kept), "log": b""}
+            empty = encode_snapshot(LogSnapshot(0, 0, VoterSet(), None, (), b""))
+            self.durable = {"vote": encode_vote(kept), "log": b"", "snapshot": empty}
             self.current = dict(self.durable)
 
 
--- a/features/fakes/agreement_cluster.py
+++ b/features/fakes/agreement_cluster.py
@@ -96,7 +96,6 @@
         surroundings = Surroundings(
             self.name,
             cluster.founders,
-            self.durable,
             HostClock(self.host),
             SessionLink(cluster.network, self.name, session),
             cluster.parts.settings,
--- a/features/fakes/agreement_model.py
+++ b/features/fakes/agreement_model.py
@@ -111,6 +111,5 @@
         return encode([self._index, self._count, self._chain])
 
     def restore(self, state: bytes) -> None:
-        if state:
-            self._index, self._count, self._chain = decode(state)
-            self._model.restored(self._index, self.state)
+        self._index, self._count, self._chain = decode(state)
+        self._model.restored(self._index, self.state)
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -125,9 +125,9 @@
     files["log"] = bytes(damaged)
 
 
-@when("the log file is removed")
-def remove_log(context: Context) -> None:
-    del context.disk.store.current["log"]
+@when("the {file} file is removed")
+def remove_file(context: Context, file: str) -> None:
+    del context.disk.store.current[file]
 
 
 @then("the log opens with {count:d} entries")
@@ -139,7 +139,7 @@
 @then("the log is refused as corrupt")
 def check_corrupt(context: Context) -> None:
     match _run(DurableLog.open, context.disk, lambda: "second"):
-        case Result(tag="error", error=LogCorrupted(file="log")):
+        case Result(tag="error", error=LogCorrupted(file="log" | "snapshot")):
             return
     raise AssertionError("the damaged log was opened")
 
--- a/src/lovagetray/commands/agreement/_applying.py
+++ b/src/lovagetray/commands/agreement/_applying.py
@@ -38,7 +38,7 @@
         self._outcomes = outcomes
         self._settle = settle
         self._voters_applied = voters_applied
-        if replica.log.snapshot is not None:
+        if replica.log.base_index:
             self._load(replica.log.snapshot)
 
     async def run(self) -> None:
--- a/src/lovagetray/commands/agreement/_durable_log.py
+++ b/src/lovagetray/commands/agreement/_durable_log.py
@@ -25,6 +25,7 @@
 _VOTE = "vote"
 _LOG = "log"
 _SNAPSHOT = "snapshot"
+_NOTHING = LogSnapshot(0, 0, VoterSet(), None, (), b"")
 
 
 class DurableLog:
@@ -35,12 +36,12 @@
     """
 
     def __init__(
-        self, disk: Disk, vote: VoteRecord, snapshot: LogSnapshot | None
+        self, disk: Disk, vote: VoteRecord, snapshot: LogSnapshot = _NOTHING
     ) -> None:
         self._disk = disk
         self._vote = vote
         self._snapshot = snapshot
-        self._encoded_snapshot = b"" if snapshot is None else encode_snapshot(snapshot)
+        self._encoded_snapshot = encode_snapshot(snapshot)
         self._entries: list[Entry] = []
         # Kept apart because every lease check needs the newest voter set.
         self._voter_entries: list[Entry] = []
@@ -61,24 +62,23 @@
         log_data = await disk.read(_LOG)
         snapshot_data = await disk.read(_SNAPSHOT)
         if vote_data is None:
-            if log_data or snapshot_data is not None:
+            if log_data or snapshot_data not in (None, encode_snapshot(_NOTHING)):
                 return Error(LogCorrupted(_VOTE, 0))
             return Ok(await cls._first_start(disk, new_incarnation()))
         if log_data is None:
             return Error(LogCorrupted(_LOG, 0))
-        snapshot: LogSnapshot | None = None
-        if snapshot_data is not None:
-            match decode_snapshot(snapshot_data):
-                case Result(tag="ok", ok=found):
-                    snapshot = found
-                case Result(error=failure):
-                    return Error(failure)
-        match decode_vote(vote_data), decode_log(log_data):
-            case (Result(tag="error", error=failure), _):
+        if snapshot_data is None:
+            return Error(LogCorrupted(_SNAPSHOT, 0))
+        match decode_vote(vote_data), decode_snapshot(snapshot_data), decode_log(
+            log_data
+        ):
+            case (
+                (Result(tag="error", error=failure), _, _)
+                | (_, Result(tag="error", error=failure), _)
+                | (_, _, Result(tag="error", error=failure))
+            ):
                 return Error(failure)
-            case (_, Result(tag="error", error=failure)):
-                return Error(failure)
-            case (Result(ok=vote), Result(ok=content)):
+            case (Result(ok=vote), Result(ok=snapshot), Result(ok=content)):
                 log = cls(disk, vote, snapshot)
                 if not log._replay(content.entries):
                     return Error(LogCorrupted(_LOG, 0))
@@ -90,19 +90,19 @@
     @classmethod
     async def start_over(cls, disk: Disk, incarnation: str) -> "DurableLog":
         """Discard a corrupt log and return an empty one under a new identity."""
-        log = cls(disk, VoteRecord(incarnation, 0, None), None)
+        log = cls(disk, VoteRecord(incarnation, 0, None))
         # The new identity comes first: the old one must never vote without its log.
         await disk.replace(_VOTE, encode_vote(log._vote))
         await disk.sync_folder()
-        empty = LogSnapshot(0, 0, VoterSet(), None, (), b"")
-        await disk.replace(_SNAPSHOT, encode_snapshot(empty))
+        await disk.replace(_SNAPSHOT, log.encoded_snapshot)
         await log._rewrite()
         return log
 
     @classmethod
     async def _first_start(cls, disk: Disk, incarnation: str) -> "DurableLog":
-        # The vote file comes last: once it exists, a missing log is corruption.
-        log = cls(disk, VoteRecord(incarnation, 0, None), None)
+        # The vote file comes last: once it exists, another missing file is corruption.
+        log = cls(disk, VoteRecord(incarnation, 0, None))
+        await disk.replace(_SNAPSHOT, log.encoded_snapshot)
         await log._rewrite()
         await disk.replace(_VOTE, encode_vote(log._vote))
         await disk.sync_folder()
@@ -124,8 +124,8 @@
         return self._vote.voted_for
 
     @property
-    def snapshot(self) -> LogSnapshot | None:
-        """The snapshot that replaces the entries up to `base_index`."""
+    def snapshot(self) -> LogSnapshot:
+        """The state that replaces the entries up to `base_index`; may be the start."""
         return self._snapshot
 
     @property
@@ -135,8 +135,8 @@
 
     @property
     def base_index(self) -> int:
-        """The index of the snapshot, or 0."""
-        return 0 if self._snapshot is None else self._snapshot.log_index
+        """The index of the snapshot; 0 at the start."""
+        return self._snapshot.log_index
 
     @property
     def last_index(self) -> int:
@@ -169,12 +169,12 @@
         for entry in reversed(self._voter_entries):
             if entry.voters is not None and entry.log_index <= index:
                 return entry.voters
-        return VoterSet() if self._snapshot is None else self._snapshot.voters
+        return self._snapshot.voters
 
     def term_at(self, index: int) -> int:
         """Return the term of the entry at an index from `base_index` on."""
         if index == self.base_index:
-            return 0 if self._snapshot is None else self._snapshot.term
+            return self._snapshot.term
         return self.entry(index).term
 
     def entry(self, index: int) -> Entry:
--- a/src/lovagetray/commands/agreement/_protocols.py
+++ b/src/lovagetray/commands/agreement/_protocols.py
@@ -20,7 +20,7 @@
         """Return the whole state."""
 
     def restore(self, state: bytes) -> None:
-        """Replace the state with what `snapshot` returned; empty means the start."""
+        """Replace the state with what `snapshot` returned."""
 
 
 class PeerLink(Protocol):
--- a/src/lovagetray/commands/agreement/_replica.py
+++ b/src/lovagetray/commands/agreement/_replica.py
@@ -37,20 +37,20 @@
     ----------
     founders
         The instances that form the first voter set, all with empty disks.
-    durable
-        Whether this instance has a disk and so may vote.
     random
         Source of election times and identities.
+    durable
+        Whether this instance has a disk and so may vote; `Agreement.open` sets it.
     """
 
     name: str
     founders: tuple[str, ...]
-    durable: bool
     clock: Clock
     link: PeerLink
     settings: AgreementSettings
     violations: Violations
     random: Random
+    durable: bool = False
 
 
 class Replica:
