Replicated log: end every lease before a new leader changes the live list

Cause: review and a new check of the runs. A leader without a majority, or one that went on after a pause, could still renew leases, up to 4 s after its last contact with a majority. A lease is now confirmed only by a stamp that came before that contact. The runs check leases against the newest leader and damage logs only where that is detectable.

--- a/features/fakes/agreement_model.py
+++ b/features/fakes/agreement_model.py
@@ -1,5 +1,6 @@
 """A single copy of the state, against which every instance is compared."""
 
+import time
 from datetime import datetime
 from hashlib import blake2b
 
@@ -10,6 +11,9 @@
 from lovagetray._log_entries import Proposal, Voter
 from lovagetray._peer_messages import AgreementMessage, AppendEntries, SnapshotChunk
 
+# A lease of 2 s on a clock that is 2% slow, and one step of the watch.
+_LONGEST_LEASE = 2.1
+
 
 class Model:
     """What was applied, accepted and refused anywhere, and what contradicts it."""
@@ -23,6 +27,9 @@
         self._states: dict[int, tuple[int, bytes]] = {0: (0, b"")}
         self._bodies: dict[bytes, int] = {}
         self._leaders: dict[int, Voter] = {}
+        self._listed: dict[str, float] = {}
+        self._newest_term = 0
+        self._newest_since = 0.0
 
     def saw_message(self, sender: str, message: AgreementMessage) -> None:
         """Check that each term has one leader."""
@@ -31,6 +38,15 @@
                 known = self._leaders.setdefault(beat.term, beat.leader)
                 if known != beat.leader:
                     self.report(f"two leaders in term {beat.term}")
+                self.listed(beat.term, beat.live)
+
+    def listed(self, term: int, live: tuple[str, ...]) -> None:
+        """Note which instances the leader of the newest term counts as live."""
+        now = time.monotonic()
+        if term > self._newest_term:
+            self._newest_term, self._newest_since = term, now
+        if term == self._newest_term:
+            self._listed.update(dict.fromkeys(live, now))
 
     @property
     def terms(self) -> int:
@@ -55,6 +71,15 @@
         if index < self.highest:
             self.report(f"{name} read index {index} after {self.highest} was applied")
 
+    def leased(self, name: str) -> None:
+        """Check that a lease ends in time after the newest leader stopped listing it.
+
+        A lease of an older leader may run until the newest one has led for a lease.
+        """
+        listed = max(self._listed.get(name, 0.0), self._newest_since)
+        if time.monotonic() - listed > _LONGEST_LEASE:
+            self.report(f"{name} holds a lease that the newest leader did not give")
+
     def outcome(self, proposal: Proposal, result: Result[bytes, Failure]) -> None:
         """Check an outcome against earlier ones of the same request id."""
         match result:
--- a/features/fakes/agreement_runs.py
+++ b/features/fakes/agreement_runs.py
@@ -168,9 +168,11 @@
                 cluster.counts["lost disks"] += 1
                 await victim.stop()
                 victim.store.lose()
+                victim.damaged = victim.damage_found = False
             case "damage" if victim.durable and cluster.spare_disk(victim.name):
                 await victim.stop()
-                victim.damaged = victim.store.damage()
+                if not victim.damaged:
+                    victim.damaged = victim.store.damage()
             case _:
                 await self._operate(fault, leader)
 
--- a/src/lovagetray/_log_entries.py
+++ b/src/lovagetray/_log_entries.py
@@ -152,7 +152,7 @@
     sent_at
         The leader's monotonic clock; replies return it.
     confirmed
-        The newest stamp that the leader got from the receiver.
+        The newest stamp of the receiver that counts for its lease.
     """
 
     term: int
--- a/src/lovagetray/commands/agreement/_replica.py
+++ b/src/lovagetray/commands/agreement/_replica.py
@@ -208,14 +208,21 @@
             self._lease_start = max(confirmed.at, start or confirmed.at)
 
     def leader_beat(self, leading: Leading, peer: str) -> LeaderBeat:
-        """Return what a message to a peer carries."""
+        """Return what a message to a peer carries.
+
+        A stamp is returned only if a majority answered a message that was sent after
+        it came. So every lease that this leader gives has ended one lease after the
+        last contact with a majority, and before a new leader changes the live list.
+        """
+        settings = self.surroundings.settings
+        contact = self.quorum_contact(leading, leading.since - settings.ballot)
         return LeaderBeat(
             self.log.term,
             self.me,
             self._commit_index,
             leading.live,
             self.surroundings.clock.elapsed(),
-            leading.progress(peer).confirmed,
+            leading.progress(peer).confirmed(contact),
         )
 
     def follower_beat(self, answered: LeaderBeat) -> FollowerBeat:
--- a/src/lovagetray/commands/agreement/_replication.py
+++ b/src/lovagetray/commands/agreement/_replication.py
@@ -124,7 +124,8 @@
         progress.voter = beat.voter
         progress.durable = beat.durable
         progress.applied = beat.applied
-        progress.heard_at = self._replica.surroundings.clock.elapsed()
-        progress.confirmed = beat.stamp
+        now = self._replica.surroundings.clock.elapsed()
+        progress.heard_at = now
+        progress.stamps.append((now, beat.stamp))
         contacted = leading.contacted.get(beat.voter, leading.since)
         leading.contacted[beat.voter] = max(contacted, beat.answers)
--- a/src/lovagetray/commands/agreement/_roles.py
+++ b/src/lovagetray/commands/agreement/_roles.py
@@ -20,8 +20,8 @@
         When the newest message was sent, on the leader's monotonic clock.
     heard_at
         When any reply of this term came, on the leader's monotonic clock.
-    confirmed
-        The newest stamp in a reply.
+    stamps
+        Stamps of replies, with the time at which each came; the oldest first.
     chunk_index, chunk_source, chunk_offset
         The snapshot that is being sent and how many of its bytes the peer holds. A
         newer one does not replace it, or a slow transfer would never end.
@@ -33,11 +33,19 @@
     durable: bool = False
     applied: int = 0
     heard_at: timedelta | None = None
-    confirmed: Stamp | None = None
+    stamps: list[tuple[timedelta, Stamp]] = field(default_factory=list)
     chunk_index: int = 0
     chunk_source: bytes = b""
     chunk_offset: int = 0
 
+    def confirmed(self, until: timedelta) -> Stamp | None:
+        """Return the newest stamp that came by `until`; older ones are forgotten."""
+        came = [number for number, one in enumerate(self.stamps) if one[0] <= until]
+        if not came:
+            return None
+        del self.stamps[: came[-1]]
+        return self.stamps[0][1]
+
 
 @dataclass(slots=True)
 class Following:
--- a/src/lovagetray/wire/_log_codec.py
+++ b/src/lovagetray/wire/_log_codec.py
@@ -7,7 +7,7 @@
 from expression import Error, Ok, Result
 from msgspec import DecodeError, ValidationError
 from msgspec.msgpack import Decoder, encode
-from xxhash import xxh64_intdigest
+from xxhash import xxh32_intdigest, xxh64_intdigest
 
 from lovagetray._errors import LogCorrupted
 from lovagetray._log_entries import Entry, LogSnapshot, VoteRecord
@@ -16,11 +16,21 @@
 
 _MAGIC = b"LTr1"
 _HEADER = Struct(">4sIQ")
+_HEADER_CHECK = Struct(">I")
+_HEADER_SIZE = _HEADER.size + _HEADER_CHECK.size
 _entries_decoder = Decoder(tuple[Entry, ...])
 _vote_decoder = Decoder(VoteRecord)
 _snapshot_decoder = Decoder(LogSnapshot)
 
 
+class RecordHeader(NamedTuple):
+    """Where the payload of a record lies, and its checksum."""
+
+    start: int
+    end: int
+    checksum: int
+
+
 class LogContent(NamedTuple):
     """What a log file holds and how many of its bytes are whole records."""
 
@@ -57,42 +67,56 @@
     """Return the entries of a log file without a torn tail.
 
     Each record is synced before the next is written, so a crash can damage only the
-    last one. A damaged record before a whole one is therefore corruption.
+    last one. A damaged record is therefore corruption if anything follows it: bytes
+    after the length in its header, or a later header.
     """
     entries: list[Entry] = []
     position = 0
     while position < len(data):
         payload = _payload_at(data, position)
         if payload is None:
-            if _whole_record_after(data, position):
+            if _is_followed(data, position):
                 return Error(LogCorrupted("log", position))
             break
         try:
             entries.extend(_entries_decoder.decode(payload))
         except (DecodeError, ValidationError):
             return Error(LogCorrupted("log", position))
-        position += _HEADER.size + len(payload)
+        position += _HEADER_SIZE + len(payload)
     return Ok(LogContent(tuple(entries), position))
 
 
 def _record(payload: bytes) -> bytes:
-    return _HEADER.pack(_MAGIC, len(payload), xxh64_intdigest(payload)) + payload
+    header = _HEADER.pack(_MAGIC, len(payload), xxh64_intdigest(payload))
+    return header + _HEADER_CHECK.pack(xxh32_intdigest(header)) + payload
 
 
-def _payload_at(data: bytes, position: int) -> bytes | None:
-    start = position + _HEADER.size
+def _header_at(data: bytes, position: int) -> RecordHeader | None:
+    start = position + _HEADER_SIZE
     if start > len(data):
         return None
     magic, length, checksum = _HEADER.unpack_from(data, position)
-    payload = data[start : start + length]
-    if magic != _MAGIC or len(payload) != length:
+    (check,) = _HEADER_CHECK.unpack_from(data, position + _HEADER.size)
+    header = data[position : position + _HEADER.size]
+    if magic != _MAGIC or xxh32_intdigest(header) != check:
+        return None
+    return RecordHeader(start, start + length, checksum)
+
+
+def _payload_at(data: bytes, position: int) -> bytes | None:
+    header = _header_at(data, position)
+    if header is None or header.end > len(data):
         return None
-    return payload if xxh64_intdigest(payload) == checksum else None
+    payload = data[header.start : header.end]
+    return payload if xxh64_intdigest(payload) == header.checksum else None
 
 
-def _whole_record_after(data: bytes, position: int) -> bool:
+def _is_followed(data: bytes, position: int) -> bool:
+    header = _header_at(data, position)
+    if header is not None and header.end < len(data):
+        return True
     while (position := data.find(_MAGIC, position + 1)) >= 0:
-        if _payload_at(data, position) is not None:
+        if _header_at(data, position) is not None:
             return True
     return False
 
