--- a/features/fakes/agreement_cluster.py
+++ b/features/fakes/agreement_cluster.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from datetime import timedelta
 from random import Random
 from typing import Any, NamedTuple
 
@@ -18,16 +19,17 @@
     Store,
 )
 
-from lovagetray._log_entries import Voter
+from lovagetray._log_entries import Voter, VoterSet
 from lovagetray._peer_messages import AgreementMessage
 from lovagetray._violations import Violations
 from lovagetray.commands.agreement import (
     Agreement,
     AgreementSettings,
+    DurableLog,
     Replica,
     Surroundings,
 )
-from lovagetray.wire import decode_vote
+from lovagetray.wire import decode_log, decode_snapshot, decode_vote
 
 
 class Parts(NamedTuple):
@@ -35,7 +37,12 @@
 
     replica_type: type[Replica] = Replica
     store_type: type[Store] = Store
-    settings: AgreementSettings = AgreementSettings()
+    settings: AgreementSettings = AgreementSettings(
+        snapshot_every=15,
+        batch_bytes=400,
+        chunk_bytes=150,
+        retention=timedelta(seconds=20),
+    )
 
 
 class Instance:
@@ -45,11 +52,11 @@
         self.name = name
         self.durable = durable
         self.host = Host(Random(cluster.random.random()))
-        self.clock = HostClock(self.host)
         self.store = cluster.parts.store_type(self.host.random)
         self.violations = Violations()
         self.agreement: Agreement | None = None
         self.session: Session | None = None
+        self.damaged = self.damage_found = False
         self._cluster = cluster
         self._task: Any = None
 
@@ -60,12 +67,24 @@
 
     @property
     def identity(self) -> Voter | None:
-        """The identity on the disk."""
+        """The identity on the disk, unless its log is damaged."""
         vote = self.store.durable.get("vote")
-        if vote is None:
+        if vote is None or self.damaged:
             return None
         return Voter(self.name, decode_vote(vote).ok.incarnation)
 
+    @property
+    def stored_sets(self) -> list[VoterSet]:
+        """The last voter set on the disk and any that is not committed yet."""
+        files = self.store.current
+        if "vote" not in files or self.damaged:
+            return []
+        sets = [decode_snapshot(files["snapshot"]).ok.voters]
+        for entry in decode_log(files["log"]).ok.entries:
+            if entry.voters is not None:
+                sets.append(entry.voters)
+        return [found for found in sets[-2:] if found.voters]
+
     async def start(self) -> None:
         """Start the process."""
         self.session = Session(self.host, self.stop)
@@ -89,14 +108,15 @@
         surroundings = Surroundings(
             self.name,
             cluster.founders,
-            self.durable,
-            self.clock,
+            HostClock(self.host),
             SessionLink(cluster.network, self.name, session),
             cluster.parts.settings,
             self.violations,
             Random(self.host.random.random()),
         )
         disk = SessionDisk(self.store, session) if self.durable else None
+        if disk is not None and self.damaged:
+            await self._start_over(disk)
         machine = ChainMachine(cluster.model)
         opened = await Agreement.open(
             surroundings, disk, machine, cluster.parts.replica_type
@@ -112,6 +132,18 @@
             case Result(error=failure):
                 cluster.model.report(f"{self.name}: {failure}")
 
+    async def _start_over(self, disk: SessionDisk) -> None:
+        """Check that the damage is found and come back as a new member."""
+        if not self.damage_found:
+            opened = await DurableLog.open(disk, lambda: "unused")
+            if opened.is_ok():
+                self._cluster.model.report(f"{self.name} opened a damaged log")
+            self._cluster.counts["damaged logs"] += 1
+            self.damage_found = True
+        incarnation = f"{self.host.random.getrandbits(64):016x}"
+        await DurableLog.start_over(disk, incarnation)
+        self.damaged = self.damage_found = False
+
 
 class Cluster:
     """Instances that share a network and are compared with one model."""
@@ -129,25 +161,28 @@
 
     async def run(self, voters: int, learners: int, *work: Callable[..., Any]) -> None:
         """Start the instances and do `work` until all of it has ended."""
-        self.founders = tuple(f"v{number}" for number in range(voters))
-        for name in self.founders:
-            self.instances[name] = Instance(self, name, durable=True)
-        for number in range(learners):
-            self.instances[f"l{number}"] = Instance(self, f"l{number}", False)
-        network = await spawn(self.network.run, daemon=True)
-        watcher = await spawn(self._watch, daemon=True)
-        for instance in list(self.instances.values()):
-            await instance.start()
+        await self.start(voters, learners)
         async with TaskGroup() as group:
             for one in work:
                 await group.spawn(one)
+        self.model.finish()
         for instance in self.instances.values():
             await instance.stop()
-        await network.cancel()
-        await watcher.cancel()
         if group.exception is not None:
             raise group.exception
 
+    async def start(self, voters: int, learners: int) -> None:
+        """Start the instances with empty disks."""
+        self.founders = tuple(f"v{number}" for number in range(voters))
+        for name in self.founders:
+            self.instances[name] = Instance(self, name, durable=True)
+        for number in range(learners):
+            self.instances[f"l{number}"] = Instance(self, f"l{number}", False)
+        await spawn(self.network.run, daemon=True)
+        await spawn(self._watch, daemon=True)
+        for instance in list(self.instances.values()):
+            await instance.start()
+
     async def join(self, name: str, durable: bool) -> None:
         """Add an instance while the others run."""
         self.instances[name] = Instance(self, name, durable)
@@ -168,23 +203,24 @@
     def spare_disk(self, name: str) -> bool:
         """Tell whether every known voter set keeps a majority without this disk."""
         intact = {one.identity for one in self.instances.values() if one.name != name}
-        known = [one.agreement for one in self.instances.values() if one.agreement]
-        sets = [agreement.voters for agreement in known if agreement.voters.voters]
+        sets = [found for one in self.instances.values() for found in one.stored_sets]
         return bool(sets) and all(one.majority_of(intact) for one in sets)
 
     def find_problems(self) -> tuple[str, ...]:
         """Return every contradiction with the model and every reported violation."""
-        reported = [
+        reported = {
             f"{instance.name}: {violation}"
             for instance in self.instances.values()
             for violation in instance.violations.found
-        ]
-        return (*self.model.problems, *reported)
+        }
+        return (*self.model.problems, *sorted(reported))
 
     async def settle(self) -> None:
         """End all faults and wait until every instance holds the same state."""
         self.network.cuts.clear()
+        self.network.appends_to_cut.clear()
         self.network.loss = self.network.doubling = 0.0
+        self.network.longest_delay = 0.005
         for instance in list(self.instances.values()):
             instance.host.frozen_until = 0.0
             if instance.session is not None:
@@ -193,11 +229,10 @@
                 await instance.start()
         for _ in range(300):
             await sleep(0.1)
-            if self._settled():
+            if self._settled() or self.find_problems():
                 break
         else:
             self.model.report(f"no agreement 30 s after the last fault: {self._view()}")
-        self.model.finish()
 
     def _settled(self) -> bool:
         agreements = [instance.agreement for instance in self.instances.values()]
@@ -226,11 +261,17 @@
         return True
 
     async def _watch(self) -> None:
-        """Read on every instance that claims to be current."""
+        """Read on every instance that claims to be current, and check leases."""
         while True:
             await sleep(0.02)
             for instance in self.instances.values():
                 agreement = instance.running
-                if agreement is not None and agreement.reads_current():
+                if agreement is None:
+                    continue
+                if agreement.reads_current():
                     self.counts["reads"] += 1
                     self.model.read(instance.name, agreement.applied_index)
+                if agreement.leader == instance.name:
+                    self.model.listed(agreement.term, agreement.live)
+                if agreement.lease_valid():
+                    self.model.leased(instance.name)
--- a/src/lovagetray/commands/agreement/_durable_log.py
+++ b/src/lovagetray/commands/agreement/_durable_log.py
@@ -25,6 +25,7 @@
 _VOTE = "vote"
 _LOG = "log"
 _SNAPSHOT = "snapshot"
+_NOTHING = LogSnapshot(0, 0, VoterSet(), None, (), b"")
 
 
 class DurableLog:
@@ -35,13 +36,15 @@
     """
 
     def __init__(
-        self, disk: Disk, vote: VoteRecord, snapshot: LogSnapshot | None
+        self, disk: Disk, vote: VoteRecord, snapshot: LogSnapshot = _NOTHING
     ) -> None:
         self._disk = disk
         self._vote = vote
         self._snapshot = snapshot
-        self._encoded_snapshot = b"" if snapshot is None else encode_snapshot(snapshot)
+        self._encoded_snapshot = encode_snapshot(snapshot)
         self._entries: list[Entry] = []
+        # Kept apart because every lease check needs the newest voter set.
+        self._voter_entries: list[Entry] = []
         self._synced_index = self.base_index
 
     @classmethod
@@ -59,24 +62,23 @@
         log_data = await disk.read(_LOG)
         snapshot_data = await disk.read(_SNAPSHOT)
         if vote_data is None:
-            if log_data or snapshot_data is not None:
+            if log_data or snapshot_data not in (None, encode_snapshot(_NOTHING)):
                 return Error(LogCorrupted(_VOTE, 0))
             return Ok(await cls._first_start(disk, new_incarnation()))
         if log_data is None:
             return Error(LogCorrupted(_LOG, 0))
-        snapshot: LogSnapshot | None = None
-        if snapshot_data is not None:
-            match decode_snapshot(snapshot_data):
-                case Result(tag="ok", ok=found):
-                    snapshot = found
-                case Result(error=failure):
-                    return Error(failure)
-        match decode_vote(vote_data), decode_log(log_data):
-            case (Result(tag="error", error=failure), _):
+        if snapshot_data is None:
+            return Error(LogCorrupted(_SNAPSHOT, 0))
+        match decode_vote(vote_data), decode_snapshot(snapshot_data), decode_log(
+            log_data
+        ):
+            case (
+                (Result(tag="error", error=failure), _, _)
+                | (_, Result(tag="error", error=failure), _)
+                | (_, _, Result(tag="error", error=failure))
+            ):
                 return Error(failure)
-            case (_, Result(tag="error", error=failure)):
-                return Error(failure)
-            case (Result(ok=vote), Result(ok=content)):
+            case (Result(ok=vote), Result(ok=snapshot), Result(ok=content)):
                 log = cls(disk, vote, snapshot)
                 if not log._replay(content.entries):
                     return Error(LogCorrupted(_LOG, 0))
@@ -88,19 +90,19 @@
     @classmethod
     async def start_over(cls, disk: Disk, incarnation: str) -> "DurableLog":
         """Discard a corrupt log and return an empty one under a new identity."""
-        log = cls(disk, VoteRecord(incarnation, 0, None), None)
+        log = cls(disk, VoteRecord(incarnation, 0, None))
         # The new identity comes first: the old one must never vote without its log.
         await disk.replace(_VOTE, encode_vote(log._vote))
         await disk.sync_folder()
-        empty = LogSnapshot(0, 0, VoterSet(), None, (), b"")
-        await disk.replace(_SNAPSHOT, encode_snapshot(empty))
+        await disk.replace(_SNAPSHOT, log.encoded_snapshot)
         await log._rewrite()
         return log
 
     @classmethod
     async def _first_start(cls, disk: Disk, incarnation: str) -> "DurableLog":
-        # The vote file comes last: once it exists, a missing log is corruption.
-        log = cls(disk, VoteRecord(incarnation, 0, None), None)
+        # The vote file comes last: once it exists, another missing file is corruption.
+        log = cls(disk, VoteRecord(incarnation, 0, None))
+        await disk.replace(_SNAPSHOT, log.encoded_snapshot)
         await log._rewrite()
         await disk.replace(_VOTE, encode_vote(log._vote))
         await disk.sync_folder()
@@ -122,8 +124,8 @@
         return self._vote.voted_for
 
     @property
-    def snapshot(self) -> LogSnapshot | None:
-        """The snapshot that replaces the entries up to `base_index`."""
+    def snapshot(self) -> LogSnapshot:
+        """The state that replaces the entries up to `base_index`; may be the start."""
         return self._snapshot
 
     @property
@@ -133,8 +135,8 @@
 
     @property
     def base_index(self) -> int:
-        """The index of the snapshot, or 0."""
-        return 0 if self._snapshot is None else self._snapshot.log_index
+        """The index of the snapshot; 0 at the start."""
+        return self._snapshot.log_index
 
     @property
     def last_index(self) -> int:
@@ -159,22 +161,20 @@
     @property
     def voters_index(self) -> int:
         """The index of the entry with the newest voter set."""
-        for entry in reversed(self._entries):
-            if entry.voters is not None:
-                return entry.log_index
-        return self.base_index
+        entries = self._voter_entries
+        return entries[-1].log_index if entries else self.base_index
 
     def voters_at(self, index: int) -> VoterSet:
         """Return the voter set in force at an index."""
-        for entry in reversed(self._entries):
+        for entry in reversed(self._voter_entries):
             if entry.voters is not None and entry.log_index <= index:
                 return entry.voters
-        return VoterSet() if self._snapshot is None else self._snapshot.voters
+        return self._snapshot.voters
 
     def term_at(self, index: int) -> int:
         """Return the term of the entry at an index from `base_index` on."""
         if index == self.base_index:
-            return 0 if self._snapshot is None else self._snapshot.term
+            return self._snapshot.term
         return self.entry(index).term
 
     def entry(self, index: int) -> Entry:
@@ -214,9 +214,9 @@
         The entries are readable at once, so that they can be sent during the sync.
         """
         first = entries[0].log_index
-        del self._entries[first - self.base_index - 1 :]
+        kept = self._entries[: first - self.base_index - 1]
         self._synced_index = min(self._synced_index, first - 1)
-        self._entries.extend(entries)
+        self._hold([*kept, *entries])
         await self._disk.append(_LOG, encode_entries(entries))
         await self._disk.sync(_LOG)
         self._synced_index = entries[-1].log_index
@@ -232,10 +232,14 @@
             kept = self._entries[index - self.base_index :]
         self._snapshot = snapshot
         self._encoded_snapshot = encoded
-        self._entries = kept
+        self._hold(kept)
         self._synced_index = self.last_index
         await self._rewrite()
 
+    def _hold(self, entries: list[Entry]) -> None:
+        self._entries = entries
+        self._voter_entries = [entry for entry in entries if entry.voters is not None]
+
     async def _rewrite(self) -> None:
         data = encode_entries(self._entries) if self._entries else b""
         await self._disk.replace(_LOG, data)
@@ -258,7 +262,7 @@
         if at_base is not None and at_base.term != self.term_at(base):
             # A crash between the two steps of installing a snapshot left these.
             return True
-        self._entries = [history[index] for index in sorted(history) if index > base]
+        self._hold([history[index] for index in sorted(history) if index > base])
         if self._entries and self._entries[0].log_index != base + 1:
             return False
         self._synced_index = self.last_index
