--- a/features/effects.feature
+++ b/features/effects.feature
@@ -15,7 +15,7 @@
 
   Scenario Outline: A broken rule is found
     When callers resend holds with the rule "<rule>" broken
-    Then the run reports "<report>"
+    Then the run of holds reports "<report>"
 
     Examples:
       | rule                               | report    |
--- a/features/environment.py
+++ b/features/environment.py
@@ -1,6 +1,5 @@
 """Set-up shared by all features."""
 
-from logging import CRITICAL
 from pathlib import Path
 from shutil import rmtree
 from sys import path
@@ -8,7 +7,6 @@
 
 from behave.model import Scenario
 from behave.runner import Context
-from structlog import configure, make_filtering_bound_logger
 
 path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent / "tools")]
 
--- a/features/steps/effects_steps.py
+++ b/features/steps/effects_steps.py
@@ -93,7 +93,7 @@
     context.problems = run_virtual(run_broken_world).problems()
 
 
-@then('the run reports "{report}"')
+@then('the run of holds reports "{report}"')
 def check_report(context: Context, report: str) -> None:
     assert any(report in found for found in context.problems), context.problems
 
