Replicated log: keep a former leader's lease running, and test leases without a majority

- A leader that handed over lost its own lease until the new one confirmed it.
Its lease runs from its last contact with a majority and now goes on under the new leader.

--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -24,6 +24,7 @@
       | a lost disk that rejoins under its old identity   | two leaders or read index    |
       | a commit of an entry of an older term by counting | EntryChanged or differ       |
       | a lease that outlasts its time                    | read index                   |
+      | a lease that is confirmed without a majority      | holds a lease                |
 
   Scenario: A torn tail of the log is cut off
     Guards against a crash during a write that makes the instance unusable.
--- a/features/fakes/agreement_broken.py
+++ b/features/fakes/agreement_broken.py
@@ -6,8 +6,8 @@
 from fakes.agreement_parts import Store
 from fakes.agreement_runs import Plan
 
-from lovagetray._log_entries import LogSnapshot, VoteRecord, VoterSet
-from lovagetray.commands.agreement import Replica
+from lovagetray._log_entries import LeaderBeat, LogSnapshot, VoteRecord, VoterSet
+from lovagetray.commands.agreement import Leading, Replica
 from lovagetray.wire import decode_vote, encode_snapshot, encode_vote
 
 
@@ -58,6 +58,15 @@
         return True
 
 
+class ConfirmsAlone(Replica):
+    """Confirms leases while it has no contact with a majority."""
+
+    def leader_beat(self, leading: Leading, peer: str) -> LeaderBeat:
+        stamps = list(leading.progress(peer).stamps)
+        beat = super().leader_beat(leading, peer)
+        return beat._replace(confirmed=stamps[-1][1] if stamps else None)
+
+
 _ONE_ENTRY = Parts().settings._replace(batch_bytes=1, snapshot_every=1000)
 BROKEN = {
     "a vote that is not synced": (
@@ -76,4 +85,8 @@
         Plan(("cut_leader", "heal", "noise"), pause=3.0),
         Parts(replica_type=OverlongLease),
     ),
+    "a lease that is confirmed without a majority": (
+        Plan(("split", "split", "heal"), pause=4.0, voters=(5,), learners=(0,)),
+        Parts(replica_type=ConfirmsAlone),
+    ),
 }
--- a/features/fakes/agreement_runs.py
+++ b/features/fakes/agreement_runs.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import NamedTuple
 
-from curio import sleep
+from curio import ignore_after, sleep
 from expression import Result
 from fakes.agreement_cluster import Cluster, Instance, Parts
 from fakes.agreement_parts import HostClock
@@ -38,7 +38,7 @@
 
 EVERYTHING = Plan(
     ("crash", "crash_at_sync", "crash_at_sync", "freeze", "cut", "cut", "cut_one_way")
-    + ("cut_at_append", "damage")
+    + ("cut_at_append", "split", "damage")
     + ("heal", "heal", "noise", "lose_disk", "hand_over", "join", "add", "remove")
 )
 
@@ -145,6 +145,10 @@
                 network.cut_off(victim.name, others)
             case "cut_leader" if leader is not None:
                 network.cut_off(leader.name, cluster.instances)
+            case "split" if leader is not None:
+                group = {leader.name, random.choice(others)}
+                for name in group:
+                    network.cut_off(name, set(cluster.instances) - group)
             case "cut_at_append":
                 for name in cluster.instances:
                     network.appends_to_cut[name] = random.randint(1, 8)
@@ -174,7 +178,8 @@
                 if not victim.damaged:
                     victim.damaged = victim.store.damage()
             case _:
-                await self._operate(fault, leader)
+                # A call never returns if the instance crashes during it.
+                await ignore_after(20, self._operate, fault, leader)
 
     async def _freeze(self, victim: Instance) -> None:
         victim.host.frozen_until = time.monotonic() + self._random.uniform(0.2, 5)
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -151,7 +151,7 @@
     assert (log.last_index, log.incarnation) == (0, "second")
 
 
-class Story:
+class ClusterRun:
     """Instances whose steps run one after the other in virtual time."""
 
     def __init__(self, voters: int) -> None:
@@ -196,9 +196,9 @@
 
 
 @given("{count:d} instances of the replicated log")
-def start_story(context: Context, count: int) -> None:
-    context.story = Story(count)
-    context.add_cleanup(context.story.finish)
+def start_cluster(context: Context, count: int) -> None:
+    context.run = ClusterRun(count)
+    context.add_cleanup(context.run.finish)
 
 
 def _change(name: str, body: bytes = b"body") -> Proposal:
@@ -207,25 +207,25 @@
 
 @when("the leader is cut off for {seconds:g} seconds")
 def cut_leader(context: Context, seconds: float) -> None:
-    context.story.cut(context.story.leader)
-    context.story.wait(seconds)
+    context.run.cut(context.run.leader)
+    context.run.wait(seconds)
 
 
 @when("a follower is cut off for {seconds:g} seconds")
 def cut_follower(context: Context, seconds: float) -> None:
-    assert context.story.lease_of(context.story.follower)
-    context.story.cut(context.story.follower)
-    context.story.wait(seconds)
+    assert context.run.lease_of(context.run.follower)
+    context.run.cut(context.run.follower)
+    context.run.wait(seconds)
 
 
 @when("{seconds:g} more seconds pass")
 def wait(context: Context, seconds: float) -> None:
-    context.story.wait(seconds)
+    context.run.wait(seconds)
 
 
 @then("a change at the old leader is refused as not run")
 def check_refused(context: Context) -> None:
-    result = context.story.propose(context.story.leader, _change("a"))
+    result = context.run.propose(context.run.leader, _change("a"))
     match result:
         case Result(tag="error", error=NoLeader() | NotLeader() | QuorumLost()):
             assert proves_not_run(result.error)
@@ -235,95 +235,95 @@
 
 @then("another instance leads and accepts a change")
 def check_new_leader(context: Context) -> None:
-    leader = context.story.find_leader()
-    assert leader in context.story.others
-    result = context.story.propose(leader, _change("b"))
+    leader = context.run.find_leader()
+    assert leader in context.run.others
+    result = context.run.propose(leader, _change("b"))
     assert result.is_ok(), result
 
 
 @then("the leader still lists the follower")
 def check_listed(context: Context) -> None:
-    story = context.story
-    assert story.follower.name in story.leader.agreement.live
+    run = context.run
+    assert run.follower.name in run.leader.agreement.live
 
 
 @then("the leader no longer lists the follower")
 def check_unlisted(context: Context) -> None:
-    story = context.story
-    assert story.follower.name not in story.leader.agreement.live
+    run = context.run
+    assert run.follower.name not in run.leader.agreement.live
 
 
 @then("the follower's lease has ended")
 def check_lease(context: Context) -> None:
-    assert not context.story.lease_of(context.story.follower)
+    assert not context.run.lease_of(context.run.follower)
 
 
 @when("the leader is stopped")
 def stop_leader(context: Context) -> None:
-    context.story.kernel.run(context.story.leader.stop)
+    context.run.kernel.run(context.run.leader.stop)
 
 
 @then("the new leader lists the old one until one lease has passed")
 def check_live_kept(context: Context) -> None:
-    story = context.story
+    run = context.run
     for _ in range(200):
-        if story.kernel.run(story._leader) is not None:
+        if run.kernel.run(run._leader) is not None:
             break
-        story.wait(0.05)
-    story.wait(1.8)
-    assert story.leader.name in story.find_leader().agreement.live
-    story.wait(1.5)
-    assert story.leader.name not in story.find_leader().agreement.live
+        run.wait(0.05)
+    run.wait(1.8)
+    assert run.leader.name in run.find_leader().agreement.live
+    run.wait(1.5)
+    assert run.leader.name not in run.find_leader().agreement.live
 
 
 @given("a change that was accepted before {count:d} others")
 def accept_changes(context: Context, count: int) -> None:
-    story = context.story
-    story.first = story.propose(story.follower, _change("first"))
-    assert story.first.is_ok(), story.first
+    run = context.run
+    run.first = run.propose(run.follower, _change("first"))
+    assert run.first.is_ok(), run.first
     for number in range(count):
         body = b"body %d" % number
-        assert story.propose(story.leader, _change(f"other {number}", body)).is_ok()
+        assert run.propose(run.leader, _change(f"other {number}", body)).is_ok()
 
 
 @when("every instance restarts and leadership is handed over")
 def restart_all(context: Context) -> None:
-    story = context.story
-    for instance in story.cluster.instances.values():
-        story.kernel.run(instance.stop)
-    for instance in story.cluster.instances.values():
-        story.kernel.run(instance.start)
-    story.wait(5)
-    old = story.find_leader()
-    result = story.kernel.run(old.agreement.hand_over)
+    run = context.run
+    for instance in run.cluster.instances.values():
+        run.kernel.run(instance.stop)
+    for instance in run.cluster.instances.values():
+        run.kernel.run(instance.start)
+    run.wait(5)
+    old = run.find_leader()
+    result = run.kernel.run(old.agreement.hand_over)
     assert result.is_ok(), result
-    story.wait(1)
-    assert story.find_leader() is not old
+    run.wait(1)
+    assert run.find_leader() is not old
 
 
 @then("a resend of the change gets the first outcome")
 def check_resend(context: Context) -> None:
-    story = context.story
-    for instance in story.cluster.instances.values():
-        result = story.propose(instance, _change("first"))
-        assert result == story.first, (instance.name, result)
+    run = context.run
+    for instance in run.cluster.instances.values():
+        result = run.propose(instance, _change("first"))
+        assert result == run.first, (instance.name, result)
 
 
 @then("the same request id with another body is a conflict")
 def check_conflict(context: Context) -> None:
-    story = context.story
-    result = story.propose(story.find_leader(), _change("first", b"another body"))
+    run = context.run
+    result = run.propose(run.find_leader(), _change("first", b"another body"))
     assert result.error == RequestIdConflict("first"), result
 
 
 @then("the leader's status shows every instance without lag")
 def check_status(context: Context) -> None:
-    story = context.story
+    run = context.run
 
     async def ask() -> Any:
-        return status_of(story.leader.agreement)
+        return status_of(run.leader.agreement)
 
-    status = story.kernel.run(ask)
-    assert status.leader == story.leader.name
-    assert status.lag == {name: 0 for name in story.cluster.instances}, status
-    assert status.lease and status.term == story.leader.agreement.term
+    status = run.kernel.run(ask)
+    assert status.leader == run.leader.name
+    assert status.lag == {name: 0 for name in run.cluster.instances}, status
+    assert status.lease and status.term == run.leader.agreement.term
--- a/src/lovagetray/_peer_messages.py
+++ b/src/lovagetray/_peer_messages.py
@@ -94,7 +94,7 @@
 
     Parameters
     ----------
-    trial
+    pre_vote
         A pre-vote: the receiver only says whether it would vote.
     transfer
         The leader of the term before asked the candidate to take over.
@@ -104,7 +104,7 @@
     candidate: Voter
     last_index: int
     last_term: int
-    trial: bool
+    pre_vote: bool
     transfer: bool
 
 
@@ -115,7 +115,7 @@
     term: int
     ballot_term: int
     voter: Voter
-    trial: bool
+    pre_vote: bool
     granted: bool
 
 
--- a/src/lovagetray/commands/agreement/__init__.py
+++ b/src/lovagetray/commands/agreement/__init__.py
@@ -6,4 +6,5 @@
 from lovagetray.commands.agreement._durable_log import DurableLog
 from lovagetray.commands.agreement._protocols import Disk, PeerLink, StateMachine
 from lovagetray.commands.agreement._replica import Replica, Surroundings
+from lovagetray.commands.agreement._roles import Leading
 from lovagetray.commands.agreement._settings import AgreementSettings
--- a/src/lovagetray/commands/agreement/_agreement.py
+++ b/src/lovagetray/commands/agreement/_agreement.py
@@ -200,7 +200,7 @@
                 case VoteReply():
                     await self._election.receive(message)
                 case TakeOver():
-                    await self._election.urge(message)
+                    await self._election.take_over(message)
                 case ForwardProposal():
                     await self._proposals.take_forwarded(sender, message)
                 case ProposalAccepted():
--- a/src/lovagetray/commands/agreement/_election.py
+++ b/src/lovagetray/commands/agreement/_election.py
@@ -17,7 +17,7 @@
     """A vote that is being taken; `replies` is a queue of `VoteReply`."""
 
     term: int
-    trial: bool
+    pre_vote: bool
     transfer: bool
     replies: Queue
 
@@ -29,11 +29,11 @@
         self._replica = replica
         self._membership = membership
         self._ballot: Ballot | None = None
-        self._urged = Event()
-        self._urged_term = 0
+        self._takeover = Event()
+        self._takeover_term = 0
 
     async def run(self) -> None:
-        """Watch the leader and stand for election when it is silent."""
+        """Watch the leader and start an election when it is silent."""
         while True:
             match self._replica.role:
                 case Leading() as leading:
@@ -49,14 +49,14 @@
                 if reply.term > replica.log.term:
                     await replica.advance_term(reply.term)
         ballot = self._ballot
-        if ballot is not None and ballot[:2] == (reply.ballot_term, reply.trial):
+        if ballot is not None and ballot[:2] == (reply.ballot_term, reply.pre_vote):
             await ballot.replies.put(reply)
 
-    async def urge(self, message: TakeOver) -> None:
-        """Stand for election at once because the leader asks for it."""
+    async def take_over(self, message: TakeOver) -> None:
+        """Start an election at once because the leader asks for it."""
         if message.term == self._replica.log.term:
-            self._urged_term = message.term
-            await self._urged.set()
+            self._takeover_term = message.term
+            await self._takeover.set()
 
     async def _keep_leading(self, leading: Leading) -> None:
         replica = self._replica
@@ -75,22 +75,22 @@
         replica = self._replica
         clock, settings = replica.surroundings.clock, replica.surroundings.settings
         spread = settings.longest_election - settings.shortest_election
-        patience = (
+        timeout = (
             settings.shortest_election + spread * replica.surroundings.random.random()
         )
         waited_since = clock.elapsed()
-        while not self._urged.is_set():
+        while not self._takeover.is_set():
             silent_since = max(replica.heard_at, waited_since)
-            left = silent_since + patience - clock.elapsed()
+            left = silent_since + timeout - clock.elapsed()
             if left <= timedelta(0):
                 break
-            await clock.within(left, self._urged.wait())
+            await clock.within(left, self._takeover.wait())
             if isinstance(replica.role, Leading):
                 return
-        transfer = self._urged.is_set() and self._urged_term == replica.log.term
-        self._urged.clear()
+        transfer = self._takeover.is_set() and self._takeover_term == replica.log.term
+        self._takeover.clear()
         if self._eligible():
-            await self._stand(transfer)
+            await self._campaign(transfer)
 
     def _eligible(self) -> bool:
         replica = self._replica
@@ -100,15 +100,15 @@
             return replica.me in replica.log.voters.voters
         return replica.surroundings.name in replica.surroundings.founders
 
-    async def _stand(self, transfer: bool) -> None:
+    async def _campaign(self, transfer: bool) -> None:
         replica, log = self._replica, self._replica.log
         if not transfer:
-            trial = Ballot(log.term + 1, True, False, Queue())
+            pre_vote = Ballot(log.term + 1, True, False, Queue())
             heard_at = replica.heard_at
-            if await self._take(trial) is None or replica.heard_at != heard_at:
+            if await self._take(pre_vote) is None or replica.heard_at != heard_at:
                 return
         async with replica.lock:
-            if transfer and log.term != self._urged_term:
+            if transfer and log.term != self._takeover_term:
                 return
             term = log.term + 1
             await replica.advance_term(term, replica.me)
@@ -131,7 +131,7 @@
             replica.me,
             log.last_index,
             log.last_term,
-            ballot.trial,
+            ballot.pre_vote,
             ballot.transfer,
         )
         for name in log.voters.names or replica.surroundings.founders:
--- a/src/lovagetray/commands/agreement/_following.py
+++ b/src/lovagetray/commands/agreement/_following.py
@@ -59,7 +59,7 @@
         async with replica.lock:
             granted = await self._grants(request)
             reply = VoteReply(
-                replica.log.term, request.term, replica.me, request.trial, granted
+                replica.log.term, request.term, replica.me, request.pre_vote, granted
             )
         await replica.surroundings.link.send(sender, reply)
 
@@ -145,7 +145,7 @@
             return False
         theirs = request.last_term, request.last_index
         up_to_date = theirs >= (log.last_term, log.last_index)
-        if request.trial:
+        if request.pre_vote:
             return up_to_date and request.term > log.term
         if request.term > log.term:
             await replica.advance_term(
--- a/src/lovagetray/commands/agreement/_membership.py
+++ b/src/lovagetray/commands/agreement/_membership.py
@@ -82,16 +82,16 @@
         surroundings = replica.surroundings
         match replica.role:
             case Leading() as leading:
-                heir = self._heir(leading)
+                successor = self._successor(leading)
             case _:
                 return Error(NotLeader(replica.leader or ""))
-        if heir is None:
+        if successor is None:
             return Error(NoLeader())
         leading.handing_over = True
         deadline = surroundings.clock.elapsed() + 2 * surroundings.settings.lease
         while replica.role is leading and surroundings.clock.elapsed() < deadline:
-            if leading.matched.get(heir, 0) == replica.log.last_index:
-                await surroundings.link.send(heir.name, TakeOver(replica.log.term))
+            if leading.matched.get(successor, 0) == replica.log.last_index:
+                await surroundings.link.send(successor.name, TakeOver(replica.log.term))
             await surroundings.clock.sleep(_STEP)
         if replica.role is leading:
             async with replica.lock:
@@ -99,7 +99,7 @@
                     replica.stop_leading()
         return Ok(None)
 
-    def _heir(self, leading: Leading) -> Voter | None:
+    def _successor(self, leading: Leading) -> Voter | None:
         replica = self._replica
         now = replica.surroundings.clock.elapsed()
         silence = replica.surroundings.settings.silence
--- a/src/lovagetray/commands/agreement/_replica.py
+++ b/src/lovagetray/commands/agreement/_replica.py
@@ -144,9 +144,13 @@
         self.stop_leading()
 
     def stop_leading(self) -> None:
-        """Become a follower without a leader; the caller holds the lock."""
+        """Become a follower without a leader; the caller holds the lock.
+
+        The lease of a leader runs from its last contact with a majority, and goes on.
+        """
         if isinstance(self._role, Leading):
             self._live = self._role.live
+            self._lease_start = self._lease_contact(self._role)
             _log.info("leadership_ended", term=self.log.term)
         self._role = Following(None)
 
@@ -214,8 +218,7 @@
         it came. So every lease that this leader gives has ended one lease after the
         last contact with a majority, and before a new leader changes the live list.
         """
-        settings = self.surroundings.settings
-        contact = self.quorum_contact(leading, leading.since - settings.ballot)
+        contact = self._lease_contact(leading)
         return LeaderBeat(
             self.log.term,
             self.me,
@@ -255,6 +258,11 @@
         ]
         return sorted(times, reverse=True)[len(voters) // 2]
 
+    def _lease_contact(self, leading: Leading) -> timedelta:
+        """Return the contact from which leases run; a vote counts as an answer."""
+        ballot = self.surroundings.settings.ballot
+        return self.quorum_contact(leading, leading.since - ballot)
+
     def refresh_live(self, leading: Leading) -> None:
         """Update the live list; a new leader keeps the old one for one lease.
 
@@ -279,8 +287,7 @@
 
     def has_quorum(self, leading: Leading) -> bool:
         """Tell whether a majority answered this leader within one lease."""
-        contact = self.quorum_contact(leading, leading.since)
-        age = self.surroundings.clock.elapsed() - contact
+        age = self.surroundings.clock.elapsed() - self._lease_contact(leading)
         return age < self.surroundings.settings.lease
 
     def lease_valid(self) -> bool:
