--- a/src/lovagetray/entry/_replicated_log.py
+++ b/src/lovagetray/entry/_replicated_log.py
@@ -40,7 +40,6 @@
     surroundings = Surroundings(
         name=settings.name,
         founders=settings.voters,
-        durable=settings.data_folder is not None,
         clock=clock,
         link=link,
         settings=AgreementSettings(),
