--- a/features/fakes/agreement_runs.py
+++ b/features/fakes/agreement_runs.py
@@ -98,7 +98,7 @@
         number = len(self._proposals)
         request_id, at = f"r{number}", HostClock(instance.host).now()
         if self._proposals and chance < 0.35:
-            request_id, at, _ = self._random.choice(self._proposals[-40:])
+            request_id, at, *_ = self._random.choice(self._proposals[-40:])
         proposal = Proposal(request_id, at, b"body %d" % number)
         self._proposals.append(proposal)
         return proposal
