--- a/src/lovagetray/entry/_query_routes.py
+++ b/src/lovagetray/entry/_query_routes.py
@@ -14,7 +14,7 @@
 from lovagetray._types import Answer, SearchRequest
 from lovagetray.entry._router import Route
 from lovagetray.entry._settings_in_force import SettingsInForce
-from lovagetray.queries.agreement import AgreementView, status_of
+from lovagetray.queries.agreement import AgreementStatus, AgreementView, status_of
 from lovagetray.queries.membership import addresses_for
 from lovagetray.queries.search import Searcher
 from lovagetray.state import Directory, InstanceState, Members
@@ -104,7 +104,7 @@
                 for record in self._members.live(now)
             ],
             "revision": self._settings.revision,
-            "agreement": status_of(self._agreement)._asdict(),
+            "agreement": _agreement_document(status_of(self._agreement)),
             "services": {
                 service: self._service_status(service, now)
                 for service in self._directory.services
@@ -150,3 +150,11 @@
                 return encode_answer(answer)
             case Result(error=failure):
                 return encode_failure(failure, search.request_id)
+
+
+def _agreement_document(status: AgreementStatus) -> dict[str, Any]:
+    return {
+        **status._asdict(),
+        "identity": status.identity._asdict(),
+        "voters": [voter._asdict() for voter in status.voters],
+    }
--- a/src/lovagetray/queries/agreement/_status.py
+++ b/src/lovagetray/queries/agreement/_status.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple, Protocol
 
+from lovagetray._log_entries import Voter, VoterSet
+
 
 class AgreementView(Protocol):
     """The readable side of an instance's part in the replicated log."""
@@ -22,6 +24,12 @@
     @property
     def live(self) -> tuple[str, ...]: ...
 
+    @property
+    def voter(self) -> Voter: ...
+
+    @property
+    def voters(self) -> VoterSet: ...
+
     @property
     def applied_by(self) -> Mapping[str, int]: ...
 
@@ -33,6 +41,10 @@
 
     Parameters
     ----------
+    identity
+        This instance and the life of its disk; a lost disk comes back under another.
+    voters
+        The instances that vote; a repaired one is among them under its new identity.
     lag
         Entries that are committed but not applied, for each instance that this one
         knows about: all of them on the leader, itself elsewhere.
@@ -44,6 +56,8 @@
     leader: str | None
     commit_index: int
     applied_index: int
+    identity: Voter
+    voters: tuple[Voter, ...]
     live: tuple[str, ...]
     lag: dict[str, int]
     lease: bool
@@ -57,6 +71,8 @@
         leader=agreement.leader,
         commit_index=commit,
         applied_index=agreement.applied_index,
+        identity=agreement.voter,
+        voters=agreement.voters.voters,
         live=agreement.live,
         lag={
             name: max(0, commit - applied)
--- a/src/lovagetray/state/_directory.py
+++ b/src/lovagetray/state/_directory.py
@@ -95,10 +95,11 @@
         self._listings.setdefault(announcement.service, {})[
             announcement.target
         ] = listing
-        layouts = self._layouts.setdefault(announcement.service, {})
-        for holding in announcement.holdings:
-            layouts[holding.snapshot.version] = holding.snapshot
-        self._forget_layouts(announcement.service)
+        if known is None or known.announcement.holdings != announcement.holdings:
+            layouts = self._layouts.setdefault(announcement.service, {})
+            for holding in announcement.holdings:
+                layouts[holding.snapshot.version] = holding.snapshot
+            self._forget_layouts(announcement.service)
         return Ok(listing)
 
     def contacted(self, service: str, target: str, at: timedelta) -> None:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -1,6 +1,7 @@
 """Starts entry instances and target stand-ins on loopback, for runs and tests."""
 
 from collections.abc import Iterable, Sequence
+from hashlib import sha256
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
 from socket import socket
@@ -13,6 +14,8 @@
 
 from msgspec.json import decode, encode
 
+# Opens the administration interface of fleets on loopback.
+OPERATOR_TOKEN = "fleet-operator"
 _TARGET_PROGRAM = str(Path(__file__).with_name("target.py"))
 
 
@@ -79,7 +82,6 @@
         count: int,
         voters: int = 3,
         data_centres: Sequence[str] = ("helsinki-1",),
-        operators: dict[str, str] | None = None,
     ) -> None:
         """Start entry instances that know each other."""
         voters = min(voters, count)
@@ -105,7 +107,7 @@
             ]
             lines += ["[agreement]", f"voters = {' '.join(names[:voters])}"]
             lines += ["[operators]"]
-            lines += [f"{who} = {digest}" for who, digest in (operators or {}).items()]
+            lines += [f"operator = {sha256(OPERATOR_TOKEN.encode()).hexdigest()}"]
             path = self._folder / f"{name}.ini"
             path.write_text("\n".join(lines) + "\n")
             self.entries.append(self._run_entry(name, http[number], path))
@@ -178,12 +180,38 @@
         with urlopen(url, timeout=5) as response:
             return decode(response.read())
 
-    def post(self, port: int, path: str, document: Any) -> Any:
+    def post(
+        self, port: int, path: str, document: Any, headers: dict[str, str] = {}
+    ) -> Any:
         """Post a JSON document and return the reply."""
         url = f"http://127.0.0.1:{port}{path}"
-        with urlopen(Request(url, encode(document)), timeout=5) as response:
+        request = Request(url, encode(document), headers)
+        with urlopen(request, timeout=10) as response:
             return decode(response.read())
 
+    def change_settings(
+        self, path: str, values: dict[str, str], entry: int = 0, base: int | None = None
+    ) -> int:
+        """Set values at a branch as the operator of the fleet; return the revision."""
+        changed = self.entries[entry]
+        document = {
+            "base": self.status(changed)["revision"] if base is None else base,
+            "changes": [
+                {"path": path, "key": key, "value": value}
+                for key, value in values.items()
+            ],
+        }
+        headers = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
+        port = changed.http_port
+        accepted = self.post(port, "/v1/settings/change", document, headers)
+        revision: int = accepted["revision"]
+        return revision
+
+    def in_force(self, revision: int) -> bool:
+        """Tell whether a revision is in force at every running instance."""
+        running = [one for one in self.entries if one.process.poll() is None]
+        return all(self.status(one)["revision"] >= revision for one in running)
+
     def metric(self, entry: EntryProcess, name: str) -> float:
         """Return the sum of a metric of an instance over its labels."""
         url = f"http://127.0.0.1:{entry.http_port}/metrics"
--- a/tools/policies.py
+++ b/tools/policies.py
@@ -14,24 +14,36 @@
     settings: dict[str, str]
 
 
-OURS = "cost with hedges"
+OURS = "least in flight with hedges"
 PLAIN = "plain fan-out"
 POLICIES = (
-    Policy(OURS, {"search.policy": "cost", "hedge.budget": "5"}),
     Policy(
-        "least in flight", {"search.policy": "least_in_flight", "hedge.budget": "0"}
+        OURS,
+        {
+            "search.policy": "least_in_flight",
+            "hedge.budget": "5",
+            "retry.budget": "10",
+        },
+    ),
+    Policy(
+        "least in flight",
+        {
+            "search.policy": "least_in_flight",
+            "hedge.budget": "0",
+            "retry.budget": "10",
+        },
+    ),
+    Policy(
+        PLAIN, {"search.policy": "random", "hedge.budget": "0", "retry.budget": "0"}
     ),
-    Policy(PLAIN, {"search.policy": "random", "hedge.budget": "0"}),
 )
 
 
 def select_policy(fleet: Fleet, service: str, policy: Policy) -> bool:
-    """Put a policy in force for a service; return whether the instances did so.
-
-    This is the only place that knows how a run selects a policy. Instances read no
-    settings tree yet, so nothing is selected and a run is marked as a trial.
-    """
-    return False
+    """Put a policy in force for a service; return whether the instances did so."""
+    revision = fleet.change_settings(f"/{service}", policy.settings)
+    fleet.wait_until(lambda: fleet.in_force(revision))
+    return True
 
 
 class Shape(NamedTuple):
