--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -6,6 +6,7 @@
 
 from argparse import ArgumentDefaultsHelpFormatter, ArgumentParser, Namespace
 from collections.abc import Callable
+from logging import CRITICAL
 from pathlib import Path
 
 from slope import Slope, store_slopes
@@ -18,19 +19,11 @@
     memory_connection,
     memory_target_connection,
 )
+from slopes_of_settings import settings_change
 
-Measure = Callable[[Namespace], list[Slope]]
-
+from lovagetray._telemetry import configure_logging
 
-def settings_change(arguments: Namespace) -> list[Slope]:
-    """Return the cost of a settings change against the size of the tree.
-
-    The tree is not part of an instance yet, so there is nothing to measure; the slopes
-    `cpu_settings_change` and `bytes_settings_change` stay absent, and the capacity page
-    says so in each line that needs them.
-    """
-    print("settings-change: not measured, the settings tree is not in force yet")
-    return []
+Measure = Callable[[Namespace], list[Slope]]
 
 
 _MEASURES: dict[str, Measure] = {
@@ -65,6 +58,7 @@
         subparser.add_argument("--sizes", type=int, nargs="*", default=[])
         subparser.set_defaults(measure=measure)
     arguments = parser.parse_args()
+    configure_logging(CRITICAL)
     slopes = arguments.measure(arguments)
     for slope in slopes:
         print(
