--- a/src/lovagetray/_telemetry.py
+++ b/src/lovagetray/_telemetry.py
@@ -81,6 +81,18 @@
 )
 
 
+SETTINGS_REVISION = Gauge(
+    "lovagetray_settings_revision",
+    "Revision of the settings in force at this instance",
+)
+AGREEMENT_TERM = Gauge(
+    "lovagetray_agreement_term",
+    "Newest term of the replicated log that this instance knows",
+)
+AGREEMENT_LEADS = Gauge(
+    "lovagetray_agreement_leads",
+    "1 if this instance leads the replicated log, otherwise 0",
+)
 REPLICA_CONNECTIONS = Gauge(
     "lovagetray_replica_connections",
     "Connections to replicas that are open",
--- a/src/lovagetray/entry/_instance.py
+++ b/src/lovagetray/entry/_instance.py
@@ -10,6 +10,12 @@
 from lovagetray._peer_messages import AgreementMessage, Envelope, Heartbeat, Stopped
 from lovagetray._process_settings import ProcessSettings
 from lovagetray._signals import SignalListener
+from lovagetray._telemetry import (
+    AGREEMENT_LEADS,
+    AGREEMENT_TERM,
+    CONNECTIONS_OPEN,
+    SETTINGS_REVISION,
+)
 from lovagetray._types import InstanceId
 from lovagetray._violations import Violations
 from lovagetray.commands.effects import EffectRunner
@@ -19,6 +25,7 @@
 from lovagetray.entry._effect_sender import OwnerEffectSender
 from lovagetray.entry._lease import AgreementLease
 from lovagetray.entry._operators import Operators
+from lovagetray.entry._owner_retries import OwnerRetries
 from lovagetray.entry._query_routes import QueryRoutes
 from lovagetray.entry._replicated_ledger import ReplicatedLedger
 from lovagetray.entry._replicated_log import (
@@ -98,7 +105,7 @@
             await group.spawn(self._agreement.run)
             await group.spawn(self._replicated_ledger.run)
             await group.spawn(self._targets.run)
-            await group.spawn(self._keep_house)
+            await group.spawn(self._keep_house, server)
             await group.spawn(server.run, listener)
             await group.spawn(self._start_serving)
             await signals.receive()
@@ -144,7 +151,11 @@
             HttpDialer(self._clock),
             self._clock,
             self._violations,
-            limits=self._in_force.targets,
+            OwnerRetries(
+                lambda service: self._in_force.search(service).retry_budget,
+                self._violations,
+            ),
+            self._in_force.targets,
         )
         return TargetAccess(
             self._directory,
@@ -218,7 +229,7 @@
             case _:
                 await self._targets.handle(envelope)
 
-    async def _keep_house(self) -> None:
+    async def _keep_house(self, server: HttpServer) -> None:
         """Compare announcements with peers and expire old state, each second."""
         while True:
             await self._clock.sleep(_HOUSEKEEPING)
@@ -228,6 +239,10 @@
             self._directory.expire(now, _FORGET_TARGET)
             await self._peers.broadcast(self._heartbeat())
             await self._peers.broadcast(digest(self._directory))
+            CONNECTIONS_OPEN.set(server.open_connections)
+            SETTINGS_REVISION.set(self._in_force.revision)
+            AGREEMENT_TERM.set(self._agreement.term)
+            AGREEMENT_LEADS.set(self._agreement.leader == self._settings.name)
 
     def _heartbeat(self) -> Heartbeat:
         self._members.change_own_revision(self._in_force.revision)
