Refuse a hold that cannot be recorded as not run; test holds as processes

Cause: without a majority of voters a hold was answered with an unconfirmed proposal and not_run false, although nothing was sent to a target (features/effects_processes.feature, 'No majority of voters', failed). Change: the failure is LedgerUnavailable, which proves that the hold did not run.

--- /dev/null
+++ b/features/effects_processes.feature
@@ -0,0 +1,22 @@
+Feature: Non-idempotent requests across instances, as processes
+
+  Guards against a hold that runs twice when its instance dies or freezes, when the
+  caller resends it elsewhere, or when the replicated log has no majority.
+
+  Scenario: A resend through another instance gets the first outcome
+    Given 3 entry instances and a service of 1 shards with 3 replicas
+    When a hold is sent through instance 1 and then through 2 and 3
+    Then all answers are the same and it ran once
+
+  Scenario: The instance that runs a hold is killed
+    Given 3 entry instances and a service of 1 shards with 3 replicas
+    When a slow hold is sent through instance 1, which is killed meanwhile
+    And the hold is sent again through instance 2
+    Then the answer does not claim an outcome that differs from the run
+    And it ran at most once
+
+  Scenario: No majority of voters
+    Given 3 entry instances and a service of 1 shards with 3 replicas
+    When two of three voters are killed
+    And a hold is sent through the one that is left
+    Then it is refused as not run and did not run
--- a/src/lovagetray/_errors.py
+++ b/src/lovagetray/_errors.py
@@ -293,6 +293,17 @@
         return f"the issue time of {self.key!r} is too old or lies in the future"
 
 
+@dataclass(frozen=True, slots=True)
+class LedgerUnavailable:
+    """A non-idempotent request could not be recorded, so it was not sent anywhere."""
+
+    code: ClassVar[str] = "ledger_unavailable"
+    key: str
+
+    def __str__(self) -> str:
+        return f"request {self.key!r} could not be recorded and was not run"
+
+
 @dataclass(frozen=True, slots=True)
 class OutcomeUnknown:
     """A non-idempotent request may have been started; its outcome is not known."""
@@ -436,6 +447,7 @@
     | StaleAnnouncement
     | KeyConflict
     | KeyExpired
+    | LedgerUnavailable
     | OutcomeUnknown
     | InvalidSettings
     | RefusedSettings
@@ -481,6 +493,7 @@
             | StaleAnnouncement()
             | KeyConflict()
             | KeyExpired()
+            | LedgerUnavailable()
             | RefusedSettings()
             | RevisionConflict()
             | RevisionAhead()
--- a/src/lovagetray/commands/effects/_run_once.py
+++ b/src/lovagetray/commands/effects/_run_once.py
@@ -14,6 +14,7 @@
     Failure,
     KeyConflict,
     KeyExpired,
+    LedgerUnavailable,
     OutcomeUnknown,
     UnknownService,
     proves_not_run,
@@ -154,7 +155,8 @@
             case Result(tag="error", error=failure):
                 # Whether the begin was committed may be unknown, but nothing was sent.
                 await self._ledger.release_later(ReleaseEffect(key, attempt))
-                return Error(failure)
+                _log.warning("effect_not_recorded", key=request.key, cause=failure.code)
+                return Error(LedgerUnavailable(request.key))
             case _:
                 return Error(OutcomeUnknown(request.key))
 
--- a/src/lovagetray/wire/_caller_json.py
+++ b/src/lovagetray/wire/_caller_json.py
@@ -14,9 +14,14 @@
     InvalidSettings,
     KeyConflict,
     KeyExpired,
+    LedgerUnavailable,
     MalformedRequest,
+    NoLeader,
+    NotLeader,
     Overloaded,
     PeerUnreachable,
+    ProposalUnconfirmed,
+    QuorumLost,
     RefusedSettings,
     RequestIdReused,
     RequestTooLarge,
@@ -175,7 +180,9 @@
             return 413
         case Overloaded() | Stopping() | PeerUnreachable() | Incomplete():
             return 503
-        case RevisionAhead():
+        case RevisionAhead() | LedgerUnavailable():
+            return 503
+        case NoLeader() | NotLeader() | QuorumLost() | ProposalUnconfirmed():
             return 503
         case DeadlinePassed() | TimedOut():
             return 504
