--- a/src/lovagetray/commands/agreement/_agreement.py
+++ b/src/lovagetray/commands/agreement/_agreement.py
@@ -1,6 +1,7 @@
 """The replicated log of one instance: its tasks and its interface."""
 
 from collections.abc import Mapping
+from datetime import timedelta
 
 from curio import Queue, TaskGroup
 from expression import Error, Ok, Result
@@ -132,6 +133,10 @@
         """Tell whether the leader confirmed this instance as live within one lease."""
         return self._replica.lease_valid()
 
+    def confirmed_age(self) -> timedelta | None:
+        """Return the time since a majority last confirmed this instance, if ever."""
+        return self._replica.confirmed_age()
+
     def reads_current(self) -> bool:
         """Tell whether this instance leads and its state holds all accepted changes."""
         return self._replica.reads_current()
--- a/src/lovagetray/commands/agreement/_replica.py
+++ b/src/lovagetray/commands/agreement/_replica.py
@@ -302,6 +302,14 @@
         age = self.surroundings.clock.elapsed() - self._lease_start
         return age < self.surroundings.settings.lease
 
+    def confirmed_age(self) -> timedelta | None:
+        """Return the time since a majority last confirmed this instance, if ever."""
+        now = self.surroundings.clock.elapsed()
+        match self._role:
+            case Leading() as leading:
+                return now - self.quorum_contact(leading, leading.since)
+        return None if self._lease_start is None else now - self._lease_start
+
     def reads_current(self) -> bool:
         """Tell whether the applied state holds everything accepted anywhere."""
         match self._role:
--- a/src/lovagetray/queries/agreement/_status.py
+++ b/src/lovagetray/queries/agreement/_status.py
@@ -1,6 +1,7 @@
 """What the replicated log looks like from one instance."""
 
 from collections.abc import Mapping
+from datetime import timedelta
 from typing import NamedTuple, Protocol
 
 from lovagetray._log_entries import Voter, VoterSet
@@ -35,6 +36,8 @@
 
     def lease_valid(self) -> bool: ...
 
+    def confirmed_age(self) -> timedelta | None: ...
+
 
 class AgreementStatus(NamedTuple):
     """The state of the replicated log, as one instance knows it.
@@ -50,6 +53,9 @@
         knows about: all of them on the leader, itself elsewhere.
     lease
         Whether the instance holds a lease.
+    confirmed_ms
+        Time since a majority last confirmed it, in milliseconds; None if never. Its
+        settings may be that old.
     """
 
     term: int
@@ -61,11 +67,13 @@
     live: tuple[str, ...]
     lag: dict[str, int]
     lease: bool
+    confirmed_ms: int | None
 
 
 def status_of(agreement: AgreementView) -> AgreementStatus:
     """Return the state of the replicated log."""
     commit = agreement.commit_index
+    age = agreement.confirmed_age()
     return AgreementStatus(
         term=agreement.term,
         leader=agreement.leader,
@@ -79,4 +87,5 @@
             for name, applied in sorted(agreement.applied_by.items())
         },
         lease=agreement.lease_valid(),
+        confirmed_ms=None if age is None else int(age.total_seconds() * 1000),
     )
