Stop the work of a stand-in when its connection closes

Change: the HTTP server can cancel a handler whose caller has gone; the stand-in uses it. The measurement waits for the cold-start ramp.

--- a/src/lovagetray/wire/_http_server.py
+++ b/src/lovagetray/wire/_http_server.py
@@ -68,6 +68,9 @@
         Turns each request into its response.
     encode_failure
         Turns a request that could not be read into a response.
+    cancel_on_close
+        Whether a handler is cancelled when its caller closes the connection. It costs
+        two tasks for each request.
     """
 
     def __init__(
@@ -76,11 +79,13 @@
         encode_failure: FailureEncoder,
         clock: Clock,
         limits: HttpLimits = HttpLimits(),
+        cancel_on_close: bool = False,
     ) -> None:
         self._handler = handler
         self._encode_failure = encode_failure
         self._clock = clock
         self._limits = limits
+        self._cancel_on_close = cancel_on_close
         self._idle: set[Task] = set()
         self._open: set[Task] = set()
         self._draining = False
@@ -149,7 +154,10 @@
             case Result(tag="ok", ok=Result(tag="ok", ok=None)):
                 return False
             case Result(tag="ok", ok=Result(tag="ok", ok=HttpRequest() as request)):
-                response = await self._handler(request)
+                handled = await self._handle(client, connection, request)
+                if handled is None:
+                    return False
+                response = handled
             case Result(tag="ok", ok=Result(error=failure)):
                 response = self._encode_failure(failure)
                 return await self._respond(client, connection, response, close=True)
@@ -159,6 +167,20 @@
                 return await self._respond(client, connection, response, close=True)
         return await self._respond(client, connection, response, close=self._draining)
 
+    async def _handle(
+        self, client: Any, connection: Connection, request: HttpRequest
+    ) -> HttpResponse | None:
+        """Return the response, or None if the caller has gone meanwhile."""
+        if not self._cancel_on_close:
+            return await self._handler(request)
+        async with TaskGroup(wait=any) as group:
+            handling = await group.spawn(self._handler, request)
+            await group.spawn(_receive_until_closed, client, connection)
+        if group.completed is not handling:
+            return None
+        response: HttpResponse = handling.result
+        return response
+
     async def _wait_for_data(
         self, task: Task, client: Any, connection: Connection
     ) -> bool:
@@ -227,6 +249,11 @@
         return sent.is_ok() and not close and _reusable(connection)
 
 
+async def _receive_until_closed(client: Any, connection: Connection) -> None:
+    while data := await client.recv(_RECEIVE_BYTES):
+        connection.receive_data(data)
+
+
 def _reusable(connection: Connection) -> bool:
     return connection.our_state is DONE and connection.their_state is DONE
 
--- a/tools/measure_policies.py
+++ b/tools/measure_policies.py
@@ -40,6 +40,8 @@
 _SWEEP = (0.3, 0.5, 0.7, 0.85, 1.0, 1.1)
 _SETTLE_SECONDS = 1.5
 _WARM_UP_SECONDS = 1.5
+# Targets that have just started get all of their slots after 10 s.
+_RAMP_SECONDS = 11
 _MEMBERS = 4
 _MOST_CALLERS = 128
 
@@ -160,6 +162,7 @@
                 arguments.entries, voters=3, data_centres=shape.data_centres
             )
             with ServiceOnHosts(fleet, shape, arguments.hosts) as hosts:
+                sleep(_RAMP_SECONDS)
                 bench = Bench(fleet, hosts, shape, arguments)
                 for run in bench.cases(cases, policies):
                     print(f"{run['service']}: {run['case']}: {run['policy']}")
--- a/tools/target.py
+++ b/tools/target.py
@@ -268,7 +268,7 @@
     def __init__(
         self, handler: Handler, clock: SystemClock, limits: HttpLimits, cost: float
     ) -> None:
-        super().__init__(handler, encode_failure, clock, limits)
+        super().__init__(handler, encode_failure, clock, limits, cancel_on_close=True)
         self._cost = cost
 
     async def _serve(self, client: Any, peer_host: str) -> None:
