--- a/src/lovagetray/_errors.py
+++ b/src/lovagetray/_errors.py
@@ -4,6 +4,22 @@
 from datetime import timedelta
 from typing import ClassVar
 
+from lovagetray._agreement_errors import (
+    LogCorrupted,
+    MembershipChangeRefused,
+    NoLeader,
+    NotLeader,
+    ProposalTimeRefused,
+    ProposalUnconfirmed,
+    QuorumLost,
+    RequestIdConflict,
+)
+from lovagetray._effect_errors import (
+    KeyConflict,
+    KeyExpired,
+    LedgerUnavailable,
+    OutcomeUnknown,
+)
 from lovagetray._settings_errors import (
     InvalidSettings,
     RefusedSettings,
@@ -14,6 +30,16 @@
     UnknownRevision,
     UnreadableOutcome,
 )
+from lovagetray._target_errors import (
+    ConnectFailed,
+    ConnectionLost,
+    NoReply,
+    NotOwner,
+    RefusedByTarget,
+    SnapshotUnavailable,
+    TargetFailed,
+    WrongReply,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,105 +153,6 @@
         return "the instance is stopping"
 
 
-@dataclass(frozen=True, slots=True)
-class NotOwner:
-    """The instance does not own the replica."""
-
-    code: ClassVar[str] = "not_owner"
-    target: str
-
-    def __str__(self) -> str:
-        return f"this instance does not own replica {self.target!r}"
-
-
-@dataclass(frozen=True, slots=True)
-class ConnectFailed:
-    """No connection to a replica could be established."""
-
-    code: ClassVar[str] = "connect_failed"
-    target: str
-
-    def __str__(self) -> str:
-        return f"no connection to replica {self.target!r}"
-
-
-@dataclass(frozen=True, slots=True)
-class ConnectionLost:
-    """A connection closed or broke after a request was sent on it."""
-
-    code: ClassVar[str] = "connection_lost"
-    target: str
-
-    def __str__(self) -> str:
-        return f"the connection to replica {self.target!r} was lost"
-
-
-@dataclass(frozen=True, slots=True)
-class NoReply:
-    """A replica sent no reply within the limit of the exchange."""
-
-    code: ClassVar[str] = "no_reply"
-    target: str
-
-    def __str__(self) -> str:
-        return f"replica {self.target!r} sent no reply in time"
-
-
-@dataclass(frozen=True, slots=True)
-class RefusedByTarget:
-    """A replica refused a request before it started it.
-
-    Parameters
-    ----------
-    target
-        The name of the replica.
-    reason
-        The replica's own code: ``shed``, ``draining`` or ``starting``.
-    """
-
-    code: ClassVar[str] = "refused_by_target"
-    target: str
-    reason: str
-
-    def __str__(self) -> str:
-        return f"replica {self.target!r} refused the request: {self.reason}"
-
-
-@dataclass(frozen=True, slots=True)
-class SnapshotUnavailable:
-    """A replica no longer holds the snapshot asked for."""
-
-    code: ClassVar[str] = "snapshot_unavailable"
-    target: str
-
-    def __str__(self) -> str:
-        return f"replica {self.target!r} does not hold the snapshot"
-
-
-@dataclass(frozen=True, slots=True)
-class WrongReply:
-    """A reply named another request, shard or snapshot than the one asked for."""
-
-    code: ClassVar[str] = "wrong_reply"
-    target: str
-    field: str
-
-    def __str__(self) -> str:
-        return f"the reply of replica {self.target!r} has another {self.field}"
-
-
-@dataclass(frozen=True, slots=True)
-class TargetFailed:
-    """A replica reported a failure after it started the request."""
-
-    code: ClassVar[str] = "target_failed"
-    target: str
-    status: int
-
-    def __str__(self) -> str:
-        return f"replica {self.target!r} failed with status {self.status}"
-
-
 @dataclass(frozen=True, slots=True)
 class PeerUnreachable:
     """No connection to another instance exists, so nothing was sent to it."""
@@ -271,157 +198,6 @@
         return f"a newer announcement of target {self.target!r} is known"
 
 
-@dataclass(frozen=True, slots=True)
-class KeyConflict:
-    """An idempotency key was used before with other contents or another issue time."""
-
-    code: ClassVar[str] = "key_conflict"
-    key: str
-
-    def __str__(self) -> str:
-        return f"idempotency key {self.key!r} belongs to another request"
-
-
-@dataclass(frozen=True, slots=True)
-class KeyExpired:
-    """The issue time of a non-idempotent request is outside of what is kept."""
-
-    code: ClassVar[str] = "key_expired"
-    key: str
-
-    def __str__(self) -> str:
-        return f"the issue time of {self.key!r} is too old or lies in the future"
-
-
-@dataclass(frozen=True, slots=True)
-class LedgerUnavailable:
-    """A non-idempotent request could not be recorded, so it was not sent anywhere."""
-
-    code: ClassVar[str] = "ledger_unavailable"
-    key: str
-
-    def __str__(self) -> str:
-        return f"request {self.key!r} could not be recorded and was not run"
-
-
-@dataclass(frozen=True, slots=True)
-class OutcomeUnknown:
-    """A non-idempotent request may have been started; its outcome is not known."""
-
-    code: ClassVar[str] = "outcome_unknown"
-    key: str
-
-    def __str__(self) -> str:
-        return f"request {self.key!r} may have been started, outcome unknown"
-
-
-@dataclass(frozen=True, slots=True)
-class LogCorrupted:
-    """A file of the replicated log is damaged other than by a crash at its end.
-
-    Parameters
-    ----------
-    file
-        The name of the file in the data folder.
-    position
-        The offset of the damaged record, in bytes.
-    """
-
-    code: ClassVar[str] = "log_corrupted"
-    file: str
-    position: int
-
-    def __str__(self) -> str:
-        return f"file {self.file!r} of the log is corrupt at byte {self.position}"
-
-
-@dataclass(frozen=True, slots=True)
-class NoLeader:
-    """No leader with a majority of voters took the proposal; it was not appended."""
-
-    code: ClassVar[str] = "no_leader"
-
-    def __str__(self) -> str:
-        return "no instance leads a majority of voters; the change was not accepted"
-
-
-@dataclass(frozen=True, slots=True)
-class NotLeader:
-    """The instance does not lead, so it appended nothing.
-
-    Parameters
-    ----------
-    leader
-        The instance that leads as far as this one knows, or empty.
-    """
-
-    code: ClassVar[str] = "not_leader"
-    leader: str
-
-    def __str__(self) -> str:
-        if not self.leader:
-            return "this instance does not lead and knows no leader"
-        return f"this instance does not lead; {self.leader!r} does"
-
-
-@dataclass(frozen=True, slots=True)
-class QuorumLost:
-    """The leader has not heard from a majority of voters for a lease."""
-
-    code: ClassVar[str] = "quorum_lost"
-
-    def __str__(self) -> str:
-        return "the leader has lost contact with a majority of voters"
-
-
-@dataclass(frozen=True, slots=True)
-class ProposalUnconfirmed:
-    """A proposal was sent or appended, and its outcome is not known yet."""
-
-    code: ClassVar[str] = "proposal_unconfirmed"
-    request_id: str
-
-    def __str__(self) -> str:
-        return f"the outcome of change {self.request_id!r} is not known yet"
-
-
-@dataclass(frozen=True, slots=True)
-class RequestIdConflict:
-    """The request id was used before with another body; this one has no effect."""
-
-    code: ClassVar[str] = "request_id_conflict"
-    request_id: str
-
-    def __str__(self) -> str:
-        return f"request id {self.request_id!r} was used with another body"
-
-
-@dataclass(frozen=True, slots=True)
-class ProposalTimeRefused:
-    """The proposal's time is older than the retention of outcomes, or in the future.
-
-    An earlier proposal with the same id may have had an outcome that is forgotten now.
-    """
-
-    code: ClassVar[str] = "proposal_time_refused"
-    request_id: str
-
-    def __str__(self) -> str:
-        return f"the time of change {self.request_id!r} is too old or in the future"
-
-
-@dataclass(frozen=True, slots=True)
-class MembershipChangeRefused:
-    """A voter cannot be added or removed now."""
-
-    code: ClassVar[str] = "membership_change_refused"
-    instance: str
-    reason: str
-
-    def __str__(self) -> str:
-        return f"the voters cannot change by {self.instance!r}: {self.reason}"
-
-
 Failure = (
     TimedOut
     | MalformedRequest
--- /dev/null
+++ b/src/lovagetray/_target_errors.py
@@ -0,0 +1,103 @@
+"""Failures of a replica and of the way to it."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+
+@dataclass(frozen=True, slots=True)
+class NotOwner:
+    """The instance does not own the replica."""
+
+    code: ClassVar[str] = "not_owner"
+    target: str
+
+    def __str__(self) -> str:
+        return f"this instance does not own replica {self.target!r}"
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectFailed:
+    """No connection to a replica could be established."""
+
+    code: ClassVar[str] = "connect_failed"
+    target: str
+
+    def __str__(self) -> str:
+        return f"no connection to replica {self.target!r}"
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionLost:
+    """A connection closed or broke after a request was sent on it."""
+
+    code: ClassVar[str] = "connection_lost"
+    target: str
+
+    def __str__(self) -> str:
+        return f"the connection to replica {self.target!r} was lost"
+
+
+@dataclass(frozen=True, slots=True)
+class NoReply:
+    """A replica sent no reply within the limit of the exchange."""
+
+    code: ClassVar[str] = "no_reply"
+    target: str
+
+    def __str__(self) -> str:
+        return f"replica {self.target!r} sent no reply in time"
+
+
+@dataclass(frozen=True, slots=True)
+class RefusedByTarget:
+    """A replica refused a request before it started it.
+
+    Parameters
+    ----------
+    target
+        The name of the replica.
+    reason
+        The replica's own code: ``shed``, ``draining`` or ``starting``.
+    """
+
+    code: ClassVar[str] = "refused_by_target"
+    target: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"replica {self.target!r} refused the request: {self.reason}"
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotUnavailable:
+    """A replica no longer holds the snapshot asked for."""
+
+    code: ClassVar[str] = "snapshot_unavailable"
+    target: str
+
+    def __str__(self) -> str:
+        return f"replica {self.target!r} does not hold the snapshot"
+
+
+@dataclass(frozen=True, slots=True)
+class WrongReply:
+    """A reply named another request, shard or snapshot than the one asked for."""
+
+    code: ClassVar[str] = "wrong_reply"
+    target: str
+    field: str
+
+    def __str__(self) -> str:
+        return f"the reply of replica {self.target!r} has another {self.field}"
+
+
+@dataclass(frozen=True, slots=True)
+class TargetFailed:
+    """A replica reported a failure after it started the request."""
+
+    code: ClassVar[str] = "target_failed"
+    target: str
+    status: int
+
+    def __str__(self) -> str:
+        return f"replica {self.target!r} failed with status {self.status}"
--- a/src/lovagetray/commands/membership/_claims.py
+++ b/src/lovagetray/commands/membership/_claims.py
@@ -10,6 +10,9 @@
 # A former owner's lease has ended for certain after one lease and 10% for clock drift.
 LEASE_ENDED = LEASE * 1.1
 
+NOT_CLAIMED = Allowance(0, 0, orphaned=True)
+GIVEN_UP = Allowance(0, 0, orphaned=True, ready_in=timedelta(hours=1))
+
 
 class FormerOwner(NamedTuple):
     """An instance that may still use a replica because it did not release it.
--- a/src/lovagetray/commands/membership/_transfer.py
+++ b/src/lovagetray/commands/membership/_transfer.py
@@ -15,17 +15,18 @@
 from lovagetray._telemetry import OWNERSHIP_MOVES
 from lovagetray._types import Allowance, Announcement, InstanceId, ReplicaKey
 from lovagetray.commands.membership._claims import (
+    GIVEN_UP,
     LEASE_ENDED,
+    NOT_CLAIMED,
     Claim,
     FormerOwner,
     orphan_allowance,
 )
 from lovagetray.commands.membership._collaborators import PeerSender, ReplicaUse
-from lovagetray.queries.membership import owner_of, ownership_ranking
+from lovagetray.queries.membership import owner_of, ownership_ranking, staying
 from lovagetray.state import (
     Directory,
     InstanceRecord,
-    InstanceState,
     LeaseView,
     Members,
 )
@@ -36,8 +37,6 @@
 _SETTLED = timedelta(seconds=10)
 # A process that did not look at its lease for longer may have lost it unnoticed.
 _LONGEST_GAP = timedelta(seconds=1)
-_NOT_CLAIMED = Allowance(0, 0, orphaned=True)
-_GIVEN_UP = Allowance(0, 0, orphaned=True, ready_in=timedelta(hours=1))
 
 
 class OwnershipTransfer:
@@ -85,7 +84,7 @@
         live = self._lease.live()
         if live is None:
             return None
-        records = self._records(live)
+        records = staying(self._members, live)
         ranked = self._directory.structure, records
         if ranked != self._ranked:
             self._ranked = ranked
@@ -103,14 +102,14 @@
         """Return what this instance may use of a replica now."""
         claim = self._claims.get(ReplicaKey(announcement.service, announcement.target))
         if claim is None:
-            return _NOT_CLAIMED
+            return NOT_CLAIMED
         now = self._clock.elapsed()
         if self._holds_lease(now):
             return claim.allowance(announcement, now)
         used = claim.complete or claim.kept
         expired = self._lease_at is None or now - self._lease_at > self._orphan_limit()
         if not used or expired:
-            return _GIVEN_UP
+            return GIVEN_UP
         return orphan_allowance(announcement)
 
     def owns(self, announcement: Announcement) -> bool:
@@ -278,7 +277,7 @@
             return False
         if last_live is None or record is None or self._lease_since is None:
             return True
-        live = self._records(self._lease.live() or ())
+        live = staying(self._members, self._lease.live() or ())
         others = [one for one in live if one != record]
         ranking = ownership_ranking(announcement, [*others, record])
         place = ranking.index(record)
@@ -347,10 +346,3 @@
         for claimer, claims in answers.items():
             message = ReleasedReplicas(claimer, tuple(claims))
             await self._peers.send(claimer.name, message)
-
-    def _records(self, live: Iterable[str]) -> list[InstanceRecord]:
-        """Return the live instances that may own replicas: those that are staying."""
-        found = [self._members.record(name) for name in sorted(live)]
-        records = [record for record in found if record is not None]
-        staying = [one for one in records if one.state is not InstanceState.LEAVING]
-        return staying or records
--- a/src/lovagetray/queries/membership/__init__.py
+++ b/src/lovagetray/queries/membership/__init__.py
@@ -1,4 +1,8 @@
 """Queries about instances: addresses, ownership and status."""
 
 from lovagetray.queries.membership._addresses import addresses_for
-from lovagetray.queries.membership._ownership import owner_of, ownership_ranking
+from lovagetray.queries.membership._ownership import (
+    owner_of,
+    ownership_ranking,
+    staying,
+)
--- a/src/lovagetray/queries/membership/_ownership.py
+++ b/src/lovagetray/queries/membership/_ownership.py
@@ -1,11 +1,11 @@
 """Which instance owns a replica, and so is the only one to connect to it."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from xxhash import xxh64_intdigest
 
 from lovagetray._types import Announcement
-from lovagetray.state import InstanceRecord
+from lovagetray.state import InstanceRecord, InstanceState, Members
 
 
 def ownership_ranking(
@@ -49,6 +49,17 @@
     return _first_free(ownership_ranking(announcement, instances), taken)
 
 
+def staying(members: Members, names: Iterable[str]) -> list[InstanceRecord]:
+    """Return the records of instances that may own replicas: those not leaving.
+
+    If all of them are leaving, they go on until others have come.
+    """
+    found = [members.record(name) for name in sorted(names)]
+    records = [record for record in found if record is not None]
+    remaining = [one for one in records if one.state is not InstanceState.LEAVING]
+    return remaining or records
+
+
 def _first_free(
     ranking: Sequence[InstanceRecord], taken: set[str]
 ) -> InstanceRecord | None:
--- a/tools/search_runs.py
+++ b/tools/search_runs.py
@@ -1,14 +1,12 @@
 """Randomised runs of the search path in virtual time, with known records."""
 
-from argparse import ArgumentParser, ArgumentTypeError
 from collections import Counter
 from collections.abc import Sequence
 from datetime import timedelta
 from logging import CRITICAL
 from pathlib import Path
 from random import Random
-from sys import exit, path
-from time import perf_counter
+from sys import exit as end_process, path
 from typing import NamedTuple
 
 from curio import CancelledError, TaskGroup
@@ -34,6 +32,7 @@
     Working,
 )
 from fakes.virtual_time import run_virtual  # noqa: E402
+from seeded_runs import SeedReport, run_seeds  # noqa: E402
 
 FAULTS = (
     "straggler",
@@ -246,39 +245,12 @@
     return run_virtual(SearchRun(seed).run)
 
 
-def _seeds(text: str) -> range:
-    first, _, last = text.partition("-")
-    try:
-        return range(int(first), int(last or first) + 1)
-    except ValueError as error:
-        raise ArgumentTypeError("must look like 1-100") from error
-
-
-def main() -> int:
-    """Run seeds until they or the minutes are used up; return 1 on a violation."""
-    parser = ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=_seeds, default=range(1, 21))
-    parser.add_argument("--minutes", type=float, default=10.0)
-    arguments = parser.parse_args()
-    end = perf_counter() + 60 * arguments.minutes
-    totals: Counter[str] = Counter()
-    failed = []
-    for seed in arguments.seeds:
-        if perf_counter() >= end:
-            break
-        counts = run_seed(seed)
-        numbers = counts._asdict() | {"problems": len(counts.problems)}
-        totals.update(numbers.pop("missing"))
-        totals.update(numbers)
-        totals["seeds"] += 1
-        if counts.problems:
-            failed.append(seed)
-            print(f"seed {seed}: {counts.problems[:5]}", flush=True)
-    print(f"seeds {arguments.seeds[0]} to {arguments.seeds[0] + totals['seeds'] - 1}")
-    print(" ".join(f"{name}={count}" for name, count in totals.items()))
-    print(f"failed seeds: {failed or 'none'}")
-    return 1 if failed else 0
+def _report(seed: int) -> SeedReport:
+    counts = run_seed(seed)
+    numbers = counts._asdict()
+    problems = numbers.pop("problems")
+    return SeedReport(problems, {**numbers.pop("missing"), **numbers})
 
 
 if __name__ == "__main__":
-    exit(main())
+    end_process(run_seeds(str(__doc__), _report))
