Reserve the second attempt before watching a connection for silence

Cause: with the retry budget connected, an exchange that was silent for longer than its limit was given up when no attempt was left, although the reply was still coming; with one replica per shard that lost shards. Change: an attempt is set aside before the limit applies and given back when it is not needed; without one the reply is waited for.

--- a/features/steps/target_pool_steps.py
+++ b/features/steps/target_pool_steps.py
@@ -30,6 +30,7 @@
     PoolTools,
     ReplicaPool,
     Search,
+    UnlimitedAttempts,
     Work,
 )
 
@@ -82,6 +83,7 @@
         self.jobs: list[_Recorder] = []
         self.used: list[int] = []
         self._pool_type = pool
+        self.extra: Any = UnlimitedAttempts()
 
     def finish(self) -> "_Bench":
         """Run the actions once, and return what they left."""
@@ -116,7 +118,7 @@
     async def _run(self) -> None:
         allowance = Allowance(self.announcement.slots, self.announcement.connections)
         async with TaskGroup(wait=None) as group:
-            tools = PoolTools(self.dialer, self.clock, self.violations)
+            tools = PoolTools(self.dialer, self.clock, self.violations, self.extra)
             ready_at = self.clock.elapsed() if self.cold else None
             listing = Listing(self.announcement, self.clock.elapsed(), ready_at)
             self.pool = self._pool_type(listing, lambda _: allowance, tools, group)
@@ -135,6 +137,21 @@
     context.bench.cold = True
 
 
+class _NoAttempts:
+    """A budget of second attempts that is used up."""
+
+    def reserve(self, service: str) -> bool:
+        return False
+
+    def give_back(self, service: str) -> None:
+        raise AssertionError("nothing was set aside")
+
+
+@given("the budget of second attempts is used up")
+def use_up_budget(context: Context) -> None:
+    context.bench.extra = _NoAttempts()
+
+
 @given("the target said that it is leaving before")
 def make_leaving(context: Context) -> None:
     bench = context.bench
--- a/features/target_pool.feature
+++ b/features/target_pool.feature
@@ -88,6 +88,16 @@
       | no longer frozen | ok       |
       | frozen           | no_reply |
 
+  Scenario: Without a budget a late reply is waited for
+    # Guards against giving up a request after silence that nothing can replace.
+    Given a pool over a replica with 2 slots and 25 connections
+    And the budget of second attempts is used up
+    When 2 jobs of 10 ms are submitted with 1000 ms left
+    And 500 ms pass
+    And 1 jobs of 700 ms are submitted with 1000 ms left
+    And 2000 ms pass
+    Then the outcomes are "ok ok ok"
+
   Scenario: A dead idle connection is replaced before it is used
     # Guards against sending work on a connection that the target has closed.
     Given a pool over a replica with 1 slots and 25 connections
--- a/src/lovagetray/entry/_owner_retries.py
+++ b/src/lovagetray/entry/_owner_retries.py
@@ -5,7 +5,8 @@
 from lovagetray._violations import Violations
 from lovagetray.queries.search import ExtraBudget
 
-_BURST = 10.0
+# As many exchanges at once can be watched for silence.
+_BURST = 50.0
 
 
 class OwnerRetries:
@@ -25,12 +26,12 @@
         self._percent_of = percent_of
         self._budget = ExtraBudget("retry.budget", _BURST, _BURST, violations)
 
-    def available(self, service: str) -> bool:
-        """Count one exchange and tell whether a second attempt may follow it."""
+    def reserve(self, service: str) -> bool:
+        """Count one exchange and set one attempt aside for it, if there is one."""
         percent = self._percent_of(service)
         self._budget.earn(1, percent)
-        return percent > 0
+        return self._budget.spend(percent)
 
-    def take(self, service: str) -> bool:
-        """Take one attempt; return whether it was allowed."""
-        return self._budget.spend(self._percent_of(service))
+    def give_back(self, service: str) -> None:
+        """Return an attempt that was set aside and is not needed."""
+        self._budget.give_back()
--- a/src/lovagetray/queries/search/_budget.py
+++ b/src/lovagetray/queries/search/_budget.py
@@ -91,3 +91,8 @@
         if self._spent > self._initial + self._earned + _ROUNDING:
             self._violations.report(BudgetExceeded(self._name))
         return True
+
+    def give_back(self) -> None:
+        """Return a token that was granted and not used."""
+        self._spent -= 1
+        self._bucket.earn(1)
--- a/src/lovagetray/targets/_pooled_connection.py
+++ b/src/lovagetray/targets/_pooled_connection.py
@@ -28,23 +28,22 @@
 class ExtraAttempts(Protocol):
     """The budget from which a second attempt on a fresh connection is taken."""
 
-    def available(self, service: str) -> bool:
-        """Tell whether one more attempt is allowed."""
+    def reserve(self, service: str) -> bool:
+        """Set one attempt aside; return whether there was one."""
 
-    def take(self, service: str) -> bool:
-        """Take one attempt; return whether it was allowed."""
+    def give_back(self, service: str) -> None:
+        """Return an attempt that was set aside and is not needed."""
 
 
 class UnlimitedAttempts:
     """Allows every second attempt."""
 
-    def available(self, service: str) -> bool:
-        """Tell whether one more attempt is allowed."""
+    def reserve(self, service: str) -> bool:
+        """Set one attempt aside; return whether there was one."""
         return True
 
-    def take(self, service: str) -> bool:
-        """Take one attempt; return whether it was allowed."""
-        return True
+    def give_back(self, service: str) -> None:
+        """Return an attempt that was set aside and is not needed."""
 
 
 class TargetLimits(NamedTuple):
@@ -150,10 +149,23 @@
                 pass
             case Result(error=not_connected):
                 return Error(not_connected)
-        first_byte = None
-        if reused and self.may_repeat(job.work):
-            cost = self._announcement.connect_cost
-            first_byte = self._latency.first_byte_limit(left, cost)
+        cost = self._announcement.connect_cost
+        first_byte = self._latency.first_byte_limit(left, cost)
+        service = self._announcement.service
+        watched = reused and first_byte is not None and self.may_repeat(job.work)
+        # Without an attempt set aside, silence would only cut off a late reply.
+        if not watched or not self._tools.extra.reserve(service):
+            return await self._attempt(connection, job, None)
+        sent_before = job.times_sent
+        try:
+            return await self._attempt(connection, job, first_byte)
+        finally:
+            if job.times_sent <= sent_before + 1:
+                self._tools.extra.give_back(service)
+
+    async def _attempt(
+        self, connection: TargetConnection, job: Job, first_byte: timedelta | None
+    ) -> Result[Reply, Failure]:
         match await self._exchange(connection, job, first_byte):
             case Result(tag="ok", ok=reply):
                 await self._close_unless_reusable()
@@ -165,7 +177,7 @@
         """Tell whether work may be sent again after silence."""
         match work:
             case Search():
-                return self._tools.extra.available(self._announcement.service)
+                return True
             case Execute():
                 return False
 
@@ -176,7 +188,8 @@
         match failure:
             case Silent(failure=failure):
                 await self.close()
-                if may_repeat and self._take_extra():
+                if may_repeat:
+                    SUB_REQUESTS.labels(self._announcement.service, "retry").inc()
                     return await self._run_on_fresh(job, failure)
                 return Error(failure)
             case _:
@@ -233,13 +246,6 @@
         await self.close()
         return Error(WrongReply(self._announcement.target, "request id"))
 
-    def _take_extra(self) -> bool:
-        service = self._announcement.service
-        taken = self._tools.extra.take(service)
-        if taken:
-            SUB_REQUESTS.labels(service, "retry").inc()
-        return taken
-
     async def _close_if_dead(self, work: Work) -> None:
         if self._connection is None:
             return
