--- a/src/lovagetray/wire/_http.py
+++ b/src/lovagetray/wire/_http.py
@@ -14,6 +14,7 @@
     headers: dict[str, str]
     body: bytes
     peer_host: str
+    peer_port: int = 0
 
 
 class HttpResponse(NamedTuple):
--- a/src/lovagetray/wire/_http_server.py
+++ b/src/lovagetray/wire/_http_server.py
@@ -111,7 +111,7 @@
                     if len(self._open) >= self._limits.connections:
                         await client.close()
                         continue
-                    await group.spawn(self._serve, client, peer[0])
+                    await group.spawn(self._serve, client, peer[:2])
 
     def drain(self) -> None:
         """Ask callers to close: each further response says ``Connection: close``."""
@@ -124,7 +124,7 @@
         for task in list(self._idle):
             await task.cancel(blocking=False)
 
-    async def _serve(self, client: Any, peer_host: str) -> None:
+    async def _serve(self, client: Any, peer: tuple[str, int]) -> None:
         task = await current_task()
         self._open.add(task)
         connection = Connection(
@@ -132,7 +132,7 @@
         )
         try:
             async with client:
-                while await self._serve_request(task, client, connection, peer_host):
+                while await self._serve_request(task, client, connection, peer):
                     connection.start_next_cycle()
         except (OSError, CancelledError):
             pass
@@ -141,14 +141,14 @@
             self._idle.discard(task)
 
     async def _serve_request(
-        self, task: Task, client: Any, connection: Connection, peer_host: str
+        self, task: Task, client: Any, connection: Connection, peer: tuple[str, int]
     ) -> bool:
         """Serve one request; return whether the connection can be used again."""
         if not connection.trailing_data[0]:
             if not await self._wait_for_data(task, client, connection):
                 return False
         read = await self._clock.within(
-            self._limits.request_time, self._read(client, connection, peer_host)
+            self._limits.request_time, self._read(client, connection, peer)
         )
         match read:
             case Result(tag="ok", ok=Result(tag="ok", ok=None)):
@@ -199,7 +199,7 @@
                 return False
 
     async def _read(
-        self, client: Any, connection: Connection, peer_host: str
+        self, client: Any, connection: Connection, peer: tuple[str, int]
     ) -> Result[HttpRequest | None, MalformedRequest | RequestTooLarge]:
         head: Request | None = None
         body = bytearray()
@@ -223,7 +223,7 @@
                     if len(body) > self._limits.body_bytes:
                         return Error(RequestTooLarge(self._limits.body_bytes))
                 case EndOfMessage() if head is not None:
-                    return _decode_head(head, bytes(body), peer_host)
+                    return _decode_head(head, bytes(body), peer)
                 case ConnectionClosed():
                     return Ok(None)
                 case _ if event is PAUSED:
@@ -259,7 +259,7 @@
 
 
 def _decode_head(
-    head: Request, body: bytes, peer_host: str
+    head: Request, body: bytes, peer: tuple[str, int]
 ) -> Result[HttpRequest | None, MalformedRequest | RequestTooLarge]:
     try:
         target = urlsplit(head.target.decode("ascii"))
@@ -276,6 +276,7 @@
             query=dict(parse_qsl(target.query)),
             headers=headers,
             body=body,
-            peer_host=peer_host,
+            peer_host=peer[0],
+            peer_port=peer[1],
         )
     )
--- a/tools/target.py
+++ b/tools/target.py
@@ -9,7 +9,7 @@
 from time import time_ns
 from typing import Any, NamedTuple
 
-from curio import Event, TaskGroup, current_task, run, sleep
+from curio import Event, TaskGroup, run, sleep
 from expression import Result
 from msgspec.json import decode, encode
 
@@ -117,8 +117,7 @@
             await group.spawn(self._announce_forever)
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
-        # The server has one task for each connection.
-        connection = (await current_task()).id
+        connection = request.peer_port
         used = self._exchanges.get(connection, 0)
         self._exchanges[connection] = used + 1
         if self._fault == "silent_reused" and used and request.path != "/control":
@@ -271,9 +270,9 @@
         super().__init__(handler, encode_failure, clock, limits, cancel_on_close=True)
         self._cost = cost
 
-    async def _serve(self, client: Any, peer_host: str) -> None:
+    async def _serve(self, client: Any, peer: tuple[str, int]) -> None:
         await sleep(self._cost)
-        await super()._serve(client, peer_host)
+        await super()._serve(client, peer)
 
 
 def _words_of(invoice: Invoice) -> set[str]:
