--- a/tools/measure_policies.py
+++ b/tools/measure_policies.py
@@ -225,6 +225,7 @@
     plot(results, arguments.folder / "latency.png")
     if arguments.page:
         write_page(results, arguments.page, arguments.trial)
+        plot(results, arguments.page.with_name("latency.png"))
 
 
 if __name__ == "__main__":
--- a/tools/measurement_page.py
+++ b/tools/measurement_page.py
@@ -210,6 +210,8 @@
         yield ""
         yield f"## Latency against load, {results['sweep'][0]['service']}"
         yield ""
+        yield "![latency against load for the three policies](latency.png)"
+        yield ""
         yield from _table(results["sweep"])
     yield ""
     yield "## Not run"
