--- a/src/lovagetray/state/__init__.py
+++ b/src/lovagetray/state/__init__.py
@@ -9,7 +9,7 @@
     verify_chain,
 )
 from lovagetray.state._directory import Directory, Listing
-from lovagetray.state._lease import LEASE, LeaseView, MemberLease
+from lovagetray.state._lease import LEASE, LeaseView
 from lovagetray.state._ledger import (
     AlreadyBegun,
     AlreadyFinished,
--- a/src/lovagetray/wire/_http_server.py
+++ b/src/lovagetray/wire/_http_server.py
@@ -113,10 +113,6 @@
                         continue
                     await group.spawn(self._serve, client, peer[:2])
 
-    def drain(self) -> None:
-        """Ask callers to close: each further response says ``Connection: close``."""
-        self._draining = True
-
     async def close_idle(self) -> None:
         """Close idle connections now and the others after their response."""
         self._draining = True
