--- a/src/lovagetray/_peer_messages.py
+++ b/src/lovagetray/_peer_messages.py
@@ -11,6 +11,7 @@
     Proposal,
     Voter,
 )
+from lovagetray._routing_types import ReplicaNotice, ReplicaRun
 from lovagetray._types import (
     Announcement,
     ExecuteReply,
@@ -38,6 +39,13 @@
     sequence: int
 
 
+class AgedNotice(NamedTuple):
+    """A replica's notice and the time since an instance heard it."""
+
+    notice: ReplicaNotice
+    age: timedelta
+
+
 class FailureFrame(NamedTuple):
     """A failure as code and fields."""
 
@@ -267,6 +275,49 @@
     """Tells that the sender has released all replicas and ends now."""
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaNotices:
+    """Notices of replicas that the receiver may not have.
+
+    Parameters
+    ----------
+    number
+        Above 0 if the sender waits for a confirmation.
+    """
+
+    number: int
+    items: tuple[AgedNotice, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicasLeft:
+    """Replicas that said they are gone; the sender waits for a confirmation."""
+
+    number: int
+    replicas: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NoticesSeen:
+    """Confirms a message of the receiver."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class NoticeDigest:
+    """What the sender holds; the receiver answers with what is newer or absent."""
+
+    runs: tuple[ReplicaRun, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class KnownInstances:
+    """Instances that the receiver may not know."""
+
+    records: tuple[InstanceRecord, ...]
+
+
 PeerMessage = (
     Heartbeat
     | Announced
@@ -280,6 +331,11 @@
     | ClaimReplicas
     | ReleasedReplicas
     | Stopped
+    | ReplicaNotices
+    | ReplicasLeft
+    | NoticesSeen
+    | NoticeDigest
+    | KnownInstances
 )
 
 
--- a/src/lovagetray/_telemetry.py
+++ b/src/lovagetray/_telemetry.py
@@ -2,6 +2,7 @@
 
 from logging import CRITICAL, INFO, getLogger
 from sys import stderr
+from typing import TextIO
 
 from prometheus_client import Counter, Gauge, Histogram
 from structlog import PrintLoggerFactory, configure, make_filtering_bound_logger
@@ -125,10 +126,19 @@
     "Relayed announcements that were stale or contradicted what is known",
     ["code"],
 )
+_DISPATCH_ATTEMPTS = Counter(
+    "lovagetray_dispatch_attempts_total",
+    "Requests sent to replicas, by kind: first, retry or hedge",
+    ["kind"],
+)
+# The children are kept, because looking one up costs more than counting.
+DISPATCH_ATTEMPTS = {
+    kind: _DISPATCH_ATTEMPTS.labels(kind) for kind in ("first", "retry", "hedge")
+}
 
 
-def configure_logging(level: int = INFO) -> None:
-    """Write log events of a level and above as JSON lines to standard error."""
+def configure_logging(level: int = INFO, stream: TextIO = stderr) -> None:
+    """Write log events of a level and above as JSON lines to a stream."""
     # curio warns in plain text about work that ends just after its time limit.
     getLogger("curio").setLevel(CRITICAL)
     configure(
@@ -139,6 +149,6 @@
             TimeStamper(fmt="iso", utc=True, key="time"),
             JSONRenderer(),
         ],
-        logger_factory=PrintLoggerFactory(stderr),
+        logger_factory=PrintLoggerFactory(stream),
         cache_logger_on_first_use=True,
     )
--- a/src/lovagetray/commands/agreement/_membership.py
+++ b/src/lovagetray/commands/agreement/_membership.py
@@ -5,6 +5,7 @@
 
 from curio import Queue
 from expression import Error, Ok, Result
+from structlog import get_logger
 
 from lovagetray._errors import (
     MembershipChangeRefused,
@@ -17,6 +18,7 @@
 from lovagetray.commands.agreement._replica import Replica
 from lovagetray.commands.agreement._roles import Leading
 
+_log = get_logger()
 ChangeFailure = MembershipChangeRefused | NotLeader | ProposalUnconfirmed
 _STEP = timedelta(milliseconds=100)
 
@@ -72,9 +74,15 @@
                     old = voters.voters[voters.names.index(name)]
                     await self._append(leading, voters.without(old, awaited=True))
                     return
-                if name in voters.awaited:
+                if name in voters.awaited and not self._is_full(voters):
                     await self._append(leading, voters.including(voter))
                     return
+            changed = self._towards_target(leading, voters)
+            if changed is not None:
+                _log.info(
+                    "voters_changed", before=list(voters.names), to=list(changed.names)
+                )
+                await self._append(leading, changed)
 
     async def hand_over(self) -> Result[None, NoLeader | NotLeader]:
         """Let the most advanced voter lead; Ok when this instance no longer does."""
@@ -99,6 +107,53 @@
                     replica.stop_leading()
         return Ok(None)
 
+    def _is_full(self, voters: VoterSet) -> bool:
+        target = self._replica.surroundings.settings.target_voters
+        return target is not None and len(voters.voters) >= target
+
+    def _towards_target(self, leading: Leading, voters: VoterSet) -> VoterSet | None:
+        """Return the next set on the way to the target, or None if none is needed.
+
+        A spare is added before a silent voter is removed: entries that are committed
+        in between are on the spare too.
+        """
+        target = self._replica.surroundings.settings.target_voters
+        if target is None:
+            return None
+        silent = [voter for voter in voters.voters if self._is_silent(leading, voter)]
+        if len(voters.voters) > target:
+            others = [one for one in voters.voters if one != self._replica.me]
+            return voters.without((silent or others)[-1], awaited=False)
+        spare = self._spare(leading, voters)
+        if spare is not None and (silent or len(voters.voters) < target):
+            return voters.including(spare)
+        return None
+
+    def _is_silent(self, leading: Leading, voter: Voter) -> bool:
+        if voter == self._replica.me:
+            return False
+        clock, settings = (
+            self._replica.surroundings.clock,
+            self._replica.surroundings.settings,
+        )
+        progress = leading.peers.get(voter.name)
+        heard_at = None if progress is None else progress.heard_at
+        # A new leader gives everyone the same time to answer.
+        since = max(heard_at or leading.since, leading.watching_since)
+        return clock.elapsed() - since > settings.replace_silent
+
+    def _spare(self, leading: Leading, voters: VoterSet) -> Voter | None:
+        """Return a learner that can vote at once, or None."""
+        now = self._replica.surroundings.clock.elapsed()
+        silence = self._replica.surroundings.settings.silence
+        for name, progress in leading.peers.items():
+            heard_at = progress.heard_at
+            if name in voters.names or heard_at is None or now - heard_at > silence:
+                continue
+            if self._caught_up(leading, name):
+                return progress.voter
+        return None
+
     def _successor(self, leading: Leading) -> Voter | None:
         replica = self._replica
         now = replica.surroundings.clock.elapsed()
--- a/src/lovagetray/commands/agreement/_settings.py
+++ b/src/lovagetray/commands/agreement/_settings.py
@@ -32,6 +32,11 @@
         How far ahead of the leader's wall clock the time of a proposal may be.
     snapshot_every
         Applied entries between two snapshots.
+    target_voters
+        How many voters the leader keeps by itself, from learners with a disk; None
+        leaves the set to the operator.
+    replace_silent
+        A voter that was silent for this long is replaced if a learner can vote.
     batch_bytes, chunk_bytes, proposal_bytes
         Largest batch of entries, part of a snapshot, and body of a proposal.
     """
@@ -48,6 +53,8 @@
     retention: timedelta = timedelta(hours=24)
     clock_tolerance: timedelta = timedelta(minutes=5)
     snapshot_every: int = 1000
+    target_voters: int | None = None
+    replace_silent: timedelta = timedelta(seconds=2)
     batch_bytes: int = 256 * 1024
     chunk_bytes: int = 256 * 1024
     proposal_bytes: int = 1024 * 1024
--- /dev/null
+++ b/src/lovagetray/commands/announcing/__init__.py
@@ -0,0 +1,3 @@
+"""Announcements of replicas, from replicas and from other instances."""
+
+from lovagetray.commands.announcing._announce import Announcing
--- /dev/null
+++ b/src/lovagetray/commands/announcing/_announce.py
@@ -0,0 +1,191 @@
+"""Accepts announcements of replicas and tells the other instances."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from random import Random
+from typing import Protocol
+
+from curio import Event
+from expression import Error, Ok, Result
+from structlog import get_logger
+
+from lovagetray._clock import Clock
+from lovagetray._peer_messages import (
+    AgedNotice,
+    NoticeDigest,
+    NoticesSeen,
+    PeerMessage,
+    ReplicaNotices,
+    ReplicasLeft,
+)
+from lovagetray._routing_errors import NoticeUnconfirmed
+from lovagetray._routing_types import ReplicaNotice, ReplicaState
+from lovagetray.state import Members, ReplicaBook
+
+_log = get_logger()
+_ROUND = timedelta(seconds=1)
+# A replica waits one second for an acknowledgement.
+_CONFIRM_LIMIT = timedelta(milliseconds=600)
+_NO_AGE = timedelta(0)
+
+AnnouncingMessage = ReplicaNotices | ReplicasLeft | NoticesSeen | NoticeDigest
+
+
+class NoticeLink(Protocol):
+    """Sends messages to other instances; they may be lost."""
+
+    async def send(self, name: str, message: PeerMessage) -> object:
+        """Queue a message to an instance."""
+
+    async def broadcast(self, message: PeerMessage) -> None:
+        """Queue a message to every instance."""
+
+
+class _Confirmation:
+    """Which instances have not confirmed a message yet."""
+
+    def __init__(self, names: Iterable[str]) -> None:
+        self.missing = set(names)
+        self.confirmed = 0
+        self.done = Event()
+
+
+class Announcing:
+    """Keeps the book of replicas the same on all instances.
+
+    A notice that changes anything is sent to every instance at once. Unchanged notices
+    are sent together each second, and a digest to one instance repairs what was lost.
+    """
+
+    def __init__(
+        self,
+        book: ReplicaBook,
+        members: Members,
+        link: NoticeLink,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._book = book
+        self._members = members
+        self._link = link
+        self._clock = clock
+        self._random = random
+        self._number = 0
+        self._confirmations: dict[int, _Confirmation] = {}
+        self._heard: dict[str, ReplicaNotice] = {}
+
+    async def accept(self, notice: ReplicaNotice) -> Result[None, NoticeUnconfirmed]:
+        """Take a replica's own notice; a leaving one needs a confirmation."""
+        held = self._book.find(notice.replica)
+        changed = self._book.accept(notice, self._clock.elapsed())
+        if not changed:
+            self._heard[notice.replica] = notice
+            if held is None or notice.state is not ReplicaState.DRAINING:
+                return Ok(None)
+        else:
+            _log.info(
+                "replica_announced",
+                replica=notice.replica,
+                service=notice.service,
+                state=notice.state.value,
+                address=str(notice.address),
+                born=notice.born,
+                sequence=notice.sequence,
+            )
+        items = (AgedNotice(notice, _NO_AGE),)
+        if notice.state is ReplicaState.READY:
+            await self._link.broadcast(ReplicaNotices(0, items))
+            return Ok(None)
+        self._number += 1
+        message = ReplicaNotices(self._number, items)
+        return await self._confirmed(notice.replica, message)
+
+    async def leave(self, replica: str) -> Result[None, NoticeUnconfirmed]:
+        """Take a replica's notice that it is gone, also if it is unknown here."""
+        self._book.leave(replica, self._clock.elapsed())
+        _log.info("replica_left", replica=replica)
+        self._number += 1
+        return await self._confirmed(replica, ReplicasLeft(self._number, (replica,)))
+
+    async def receive(self, sender: str, message: AnnouncingMessage) -> None:
+        """Take what another instance tells."""
+        now = self._clock.elapsed()
+        match message:
+            case ReplicaNotices(number=number, items=items):
+                for item in items:
+                    self._book.accept(item.notice, now - item.age)
+                if number:
+                    await self._link.send(sender, NoticesSeen(number))
+            case ReplicasLeft(number=number, replicas=replicas):
+                for replica in replicas:
+                    self._book.leave(replica, now)
+                await self._link.send(sender, NoticesSeen(number))
+            case NoticesSeen(number=number):
+                await self._count_confirmation(sender, number)
+            case NoticeDigest(runs=runs):
+                newer = tuple(
+                    AgedNotice(known.notice, now - known.heard_at)
+                    for known in self._book.newer_than(runs)
+                )
+                if newer:
+                    await self._link.send(sender, ReplicaNotices(0, newer))
+
+    async def ask(self, name: str) -> None:
+        """Ask an instance for everything that is not known here."""
+        await self._link.send(name, NoticeDigest(tuple(self._book.runs())))
+
+    async def run(self) -> None:
+        """Pass on what was heard and compare with one instance, each second."""
+        while True:
+            await self._clock.sleep(_ROUND)
+            heard, self._heard = self._heard, {}
+            if heard:
+                items = tuple(AgedNotice(notice, _NO_AGE) for notice in heard.values())
+                await self._link.broadcast(ReplicaNotices(0, items))
+            now = self._clock.elapsed()
+            self._book.forget(now)
+            live = self._live_peers(now)
+            if live:
+                await self.ask(self._random.choice(live))
+
+    def _live_peers(self, now: timedelta) -> list[str]:
+        own = self._members.myself.instance.name
+        names = [record.instance.name for record in self._members.live(now)]
+        return [name for name in names if name != own]
+
+    async def _confirmed(
+        self, replica: str, message: ReplicaNotices | ReplicasLeft
+    ) -> Result[None, NoticeUnconfirmed]:
+        """Send to all and wait until the live instances have confirmed.
+
+        An instance that stays silent is not in touch; one confirmation is enough then,
+        because digests carry the notice on.
+        """
+        live = self._live_peers(self._clock.elapsed())
+        await self._link.broadcast(message)
+        if not live:
+            if self._members.sightings():
+                return Error(NoticeUnconfirmed(replica))
+            return Ok(None)
+        waiting = self._confirmations[message.number] = _Confirmation(live)
+        await self._clock.within(_CONFIRM_LIMIT, waiting.done.wait())
+        del self._confirmations[message.number]
+        if not waiting.confirmed:
+            _log.warning("leaving_unconfirmed", replica=replica, asked=live)
+            return Error(NoticeUnconfirmed(replica))
+        if waiting.missing:
+            _log.info(
+                "leaving_confirmed_by_some",
+                replica=replica,
+                missing=sorted(waiting.missing),
+            )
+        return Ok(None)
+
+    async def _count_confirmation(self, sender: str, number: int) -> None:
+        waiting = self._confirmations.get(number)
+        if waiting is None:
+            return
+        waiting.missing.discard(sender)
+        waiting.confirmed += 1
+        if not waiting.missing:
+            await waiting.done.set()
--- /dev/null
+++ b/src/lovagetray/entry/_gateway.py
@@ -0,0 +1,417 @@
+"""One gateway instance: assembles state, commands, queries and connections."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from random import Random, SystemRandom
+from signal import SIGHUP, SIGINT, SIGTERM
+from typing import NamedTuple
+
+from curio import TaskGroup
+from expression import Result
+from structlog import get_logger
+
+from lovagetray._clock import Clock
+from lovagetray._errors import Failure
+from lovagetray._gateway_settings import GatewaySettings
+from lovagetray._peer_messages import (
+    AgreementMessage,
+    Envelope,
+    Heartbeat,
+    KnownInstances,
+    NoticeDigest,
+    NoticesSeen,
+    ReplicaNotices,
+    ReplicasLeft,
+)
+from lovagetray._routing_errors import (
+    ForwardFailure,
+    InvalidDocument,
+    NotConfirmed,
+    NoticeUnconfirmed,
+)
+from lovagetray._routing_types import (
+    CallerLimits,
+    CallerRequest,
+    ReplicaNotice,
+    ReplicaReply,
+    ReplicaState,
+    RoutingDocument,
+)
+from lovagetray._signals import SignalListener
+from lovagetray._types import Address, InstanceId
+from lovagetray._violations import Violations
+from lovagetray.commands.announcing import Announcing
+from lovagetray.commands.routing import put_document
+from lovagetray.entry._dispatcher import Dispatcher
+from lovagetray.entry._gateway_log import open_gateway_log
+from lovagetray.entry._replicated_log import wait_until_current
+from lovagetray.entry._replicated_state import Part, PartProposer, ReplicatedState
+from lovagetray.queries.dispatch import DispatchTools, RequestEncoder
+from lovagetray.queries.gathering import GatheredAnswer
+from lovagetray.queries.placing import ExtraBudget, Placement
+from lovagetray.queries.routing import AddressList, addresses_for, current_document
+from lovagetray.state import (
+    DocumentDecoder,
+    InstanceRecord,
+    InstanceState,
+    Ledger,
+    Members,
+    ReplicaBook,
+    RoutingState,
+    SettingsState,
+    route_services,
+)
+from lovagetray.targets import Channels, ReplyDecoder
+from lovagetray.wire import Peers
+
+_log = get_logger()
+_SUSPICION = timedelta(milliseconds=1500)
+_HOUSEKEEPING = timedelta(seconds=1)
+# A notice may be late by seconds; a dead replica is found by its connections before.
+_MISSED_NOTICES = 6
+_FORGET_REPLICA = timedelta(minutes=2)
+# An instance with a disk serves its last document if no leader is found within this.
+_CONFIRM_LIMIT = timedelta(seconds=10)
+# Callers keep an address list for three lifetimes of a second; then nobody new comes.
+_SERVE_AFTER_STOP = timedelta(milliseconds=4300)
+# Before the kill, for the last answers and the hand-over.
+_STOP_MARGIN = timedelta(milliseconds=500)
+_STOP_POLL = timedelta(milliseconds=50)
+_HAND_OVER_LIMIT = timedelta(seconds=2)
+# Connections opened ahead in one round, so that a start does not crowd the replicas.
+_WARM_EACH_ROUND = 12
+
+
+class GatewayFormats(NamedTuple):
+    """How callers, replicas and operators write what the gateway handles."""
+
+    decode_document: DocumentDecoder
+    encode_request: RequestEncoder
+    decode_reply: ReplyDecoder
+
+
+class GatewayServer(NamedTuple):
+    """A server of the gateway.
+
+    Parameters
+    ----------
+    run
+        Serves until cancelled.
+    drain
+        Asks callers to come to another instance.
+    close_idle
+        Closes the connections without a request.
+    running
+        Returns how many requests run.
+    """
+
+    run: Callable[[], Awaitable[None]]
+    drain: Callable[[], None]
+    close_idle: Callable[[], Awaitable[None]]
+    running: Callable[[], int]
+
+
+class Gateway:
+    """A gateway instance; `run` serves until the process is told to stop."""
+
+    def __init__(
+        self, settings: GatewaySettings, formats: GatewayFormats, clock: Clock
+    ) -> None:
+        self._settings = settings
+        self._formats = formats
+        self._clock = clock
+        self._random = Random(SystemRandom().getrandbits(64))
+        self._violations = Violations()
+        self._routing = RoutingState(formats.decode_document)
+        self._book = ReplicaBook(
+            settings.notice_interval * _MISSED_NOTICES, _FORGET_REPLICA
+        )
+        self._members = Members(_own_record(settings, self._random), _SUSPICION)
+        self._peers = Peers(
+            self._members.myself.instance,
+            settings.addresses.peer,
+            clock,
+            self._heartbeat,
+            self._silence_of,
+            _SUSPICION,
+        )
+        self._announcing = Announcing(
+            self._book, self._members, self._peers, clock, self._random
+        )
+        limits = settings.extra_attempts
+        budget = ExtraBudget(
+            limits.ratio, limits.fixed, limits.window, clock, self._instances
+        )
+        self._placement = Placement(
+            self._book, budget, clock, self._random, settings.data_centre
+        )
+        self._dispatcher: Dispatcher | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether new callers are welcome."""
+        return self._members.myself.state is InstanceState.SERVING
+
+    @property
+    def caller_limits(self) -> CallerLimits:
+        """What callers may send."""
+        table = self._routing.table
+        return CallerLimits() if table is None else table.document.limits
+
+    @property
+    def settings(self) -> GatewaySettings:
+        """The settings of the process."""
+        return self._settings
+
+    async def answer(
+        self, request: CallerRequest
+    ) -> Result[ReplicaReply | GatheredAnswer, ForwardFailure]:
+        """Answer a caller's request."""
+        assert self._dispatcher is not None
+        return await self._dispatcher.answer(request)
+
+    async def put_document(
+        self, document: RoutingDocument
+    ) -> Result[int, Failure | InvalidDocument]:
+        """Agree on a routing document."""
+        proposer = PartProposer(self._agreement, Part.ROUTING)
+        return await put_document(document, self._routing, proposer, self._clock)
+
+    def document(self) -> Result[RoutingDocument | None, NotConfirmed]:
+        """Return the newest routing document."""
+        return current_document(self._routing, self._agreement)
+
+    async def accept_notice(
+        self, notice: ReplicaNotice
+    ) -> Result[None, NoticeUnconfirmed]:
+        """Take a replica's announcement."""
+        return await self._announcing.accept(notice)
+
+    async def accept_leaving(self, replica: str) -> Result[None, NoticeUnconfirmed]:
+        """Take a replica's word that it is gone."""
+        return await self._announcing.leave(replica)
+
+    def addresses(self) -> AddressList:
+        """Return the addresses that callers connect to."""
+        return addresses_for(self._members, self._clock.elapsed())
+
+    async def run(
+        self,
+        servers: Callable[["Gateway"], list[GatewayServer]],
+        reload: Callable[[], GatewaySettings | None],
+    ) -> int:
+        """Serve until SIGTERM or SIGINT; return the exit code.
+
+        Parameters
+        ----------
+        reload
+            Returns the settings of the process as they are now; None if unreadable.
+        """
+        signals = SignalListener((SIGTERM, SIGINT, SIGHUP))
+        tree = SettingsState(self._violations)
+        ledger = Ledger(self._violations, tree.tree.duration("/", "effects.retention"))
+        state = ReplicatedState(tree, ledger, self._routing)
+        self._agreement = await open_gateway_log(
+            self._settings, self._clock, self._peers, self._violations, state
+        )
+        _log.info(
+            "gateway_started",
+            instance=self._settings.name,
+            data_centre=self._settings.data_centre,
+            disk=self._settings.data_folder is not None,
+            first_start=self._settings.first_start,
+        )
+        async with TaskGroup(wait=None) as group:
+            channels = Channels(
+                self._clock,
+                self._formats.decode_reply,
+                group,
+                self._connection_limit,
+            )
+            self._channels = channels
+            tools = DispatchTools(
+                self._placement, channels, self._formats.encode_request, self._clock
+            )
+            self._dispatcher = Dispatcher(self._routing, tools)
+            opened = servers(self)
+            seeds = {str(seed): seed for seed in self._settings.seeds}
+            seeds.pop(self._settings.name, None)
+            await group.spawn(self._peers.run, seeds, self._receive)
+            await group.spawn(self._agreement.run)
+            await group.spawn(self._announcing.run)
+            await group.spawn(channels.run, self._has_ended)
+            await group.spawn(self._keep_house)
+            for server in opened:
+                await group.spawn(server.run)
+            await group.spawn(self._start_serving)
+            while await signals.receive() == SIGHUP:
+                await self._reload(reload())
+            await self._stop(opened)
+        return 0
+
+    async def _start_serving(self) -> None:
+        """Serve once the routing is current, so that no older one comes in force."""
+        limit = None if self._settings.data_folder is None else _CONFIRM_LIMIT
+        instance = self._members.myself.instance
+        current = await wait_until_current(
+            self._agreement, instance, self._clock, limit
+        )
+        while self._routing.table is None:
+            await self._clock.sleep(_STOP_POLL)
+        if self._members.myself.state is InstanceState.STARTING:
+            self._members.change_own_state(InstanceState.SERVING)
+            await self._peers.broadcast(self._heartbeat())
+        _log.info(
+            "gateway_serving",
+            address=str(self._settings.addresses.front),
+            version=self._routing.version,
+            confirmed=current,
+        )
+
+    async def _stop(self, servers: list[GatewayServer]) -> None:
+        """Withdraw from address lists, serve those who hold it, finish, end."""
+        began_at = self._clock.elapsed()
+        self._members.change_own_state(InstanceState.LEAVING)
+        await self._peers.broadcast(self._heartbeat())
+        _log.info("gateway_stopping")
+        for server in servers:
+            server.drain()
+        await self._clock.within(_HAND_OVER_LIMIT, self._agreement.hand_over())
+        latest = self._settings.grace - _STOP_MARGIN
+        serve_until = began_at + min(_SERVE_AFTER_STOP, latest)
+        await self._clock.sleep(serve_until - self._clock.elapsed())
+        while self._clock.elapsed() < began_at + latest:
+            for server in servers:
+                await server.close_idle()
+            if not any(server.running() for server in servers):
+                break
+            await self._clock.sleep(_STOP_POLL)
+        _log.info("gateway_stopped")
+
+    async def _reload(self, settings: GatewaySettings | None) -> None:
+        if settings is None:
+            return
+        _log.info("settings_reloaded", seeds=[str(seed) for seed in settings.seeds])
+        for seed in settings.seeds:
+            await self._know(str(seed), seed)
+
+    async def _know(self, name: str, address: Address) -> bool:
+        """Talk to an instance from now on; False if it is known."""
+        if name == self._settings.name or name in self._peers.names:
+            return False
+        await self._peers.add(name, address)
+        await self._agreement.add_peer(name)
+        await self._peers.send(name, self._heartbeat())
+        return True
+
+    async def _receive(self, envelope: Envelope) -> None:
+        now = self._clock.elapsed()
+        sender = envelope.sender.name
+        self._members.heard(envelope.sender, now)
+        match envelope.message:
+            case Heartbeat(record=record):
+                await self._meet(record, now)
+            case KnownInstances(records=records):
+                for record in records:
+                    await self._know(record.instance.name, record.peer_address)
+            case message if isinstance(message, AgreementMessage):
+                await self._agreement.handle(sender, message)
+            case (
+                ReplicaNotices()
+                | ReplicasLeft()
+                | NoticesSeen()
+                | NoticeDigest() as message
+            ):
+                await self._announcing.receive(sender, message)
+
+    async def _meet(self, record: InstanceRecord, now: timedelta) -> None:
+        """Take an instance's own record; tell a new one what is known here."""
+        name = record.instance.name
+        known = self._members.record(name)
+        self._members.saw(record, now)
+        await self._know(name, record.peer_address)
+        if known is None or known.instance != record.instance:
+            _log.info("instance_met", instance=name, state=record.state.value)
+            await self._peers.send(name, self._heartbeat())
+            await self._peers.send(name, self._known_instances())
+            await self._peers.broadcast(KnownInstances((record,)))
+            await self._announcing.ask(name)
+
+    def _known_instances(self) -> KnownInstances:
+        return KnownInstances(
+            tuple(sighting.record for sighting in self._members.sightings())
+        )
+
+    async def _keep_house(self) -> None:
+        """Tell one peer whom this instance knows and keep connections open."""
+        while True:
+            await self._clock.sleep(_HOUSEKEEPING)
+            names = self._peers.names
+            if names:
+                await self._peers.send(
+                    self._random.choice(names), self._known_instances()
+                )
+            await self._warm_up()
+
+    async def _warm_up(self) -> None:
+        """Open connections to replicas that will get work and have none."""
+        table = self._routing.table
+        if table is None or not self.ready:
+            return
+        services = {
+            service
+            for route in table.document.routes
+            for service in route_services(route)
+        }
+        now = self._clock.elapsed()
+        left = _WARM_EACH_ROUND
+        for service in sorted(services):
+            for notice in self._book.usable(service, now):
+                record = self._placement.record(notice.replica)
+                if self._channels.knows(notice) or now < record.avoid_until:
+                    continue
+                await self._channels.connect(notice)
+                left -= 1
+                if not left:
+                    return
+
+    def _has_ended(self, replica: str) -> bool:
+        notice = self._book.find(replica)
+        if notice is not None and notice.state is not ReplicaState.LEFT:
+            return False
+        self._placement.forget(replica)
+        return True
+
+    def _connection_limit(self, service: str) -> int:
+        """Return this instance's part of a replica's connections."""
+        table = self._routing.table
+        spec = None if table is None else table.services.get(service)
+        if spec is None:
+            return 1
+        # One instance more than are known leaves room for a start or a restart.
+        return max(1, spec.connections // (self._instances() + 1))
+
+    def _instances(self) -> int:
+        return len(self._members.sightings()) + 1
+
+    def _heartbeat(self) -> Heartbeat:
+        self._members.change_own_revision(max(0, self._routing.version))
+        return Heartbeat(self._members.myself)
+
+    def _silence_of(self, name: str) -> timedelta:
+        heard_at = self._members.heard_at(name)
+        if heard_at is None:
+            return timedelta.max
+        return self._clock.elapsed() - heard_at
+
+
+def _own_record(settings: GatewaySettings, random: Random) -> InstanceRecord:
+    # Random, because wall clocks jump and two starts must never share an incarnation.
+    incarnation = f"{random.getrandbits(64):016x}"
+    return InstanceRecord(
+        instance=InstanceId(settings.name, incarnation),
+        state=InstanceState.STARTING,
+        data_centre=settings.data_centre,
+        http_address=settings.addresses.front,
+        peer_address=settings.addresses.peer,
+    )
--- /dev/null
+++ b/src/lovagetray/entry/_gateway_log.py
@@ -0,0 +1,45 @@
+"""Opens the replicated log of a gateway."""
+
+from datetime import timedelta
+
+from lovagetray._clock import Clock
+from lovagetray._gateway_settings import GatewaySettings
+from lovagetray._violations import Violations
+from lovagetray.commands.agreement import (
+    Agreement,
+    AgreementSettings,
+    PeerLink,
+    StateMachine,
+)
+from lovagetray.entry._replicated_log import LogOwner, open_log
+
+# A routing document may have 100 KB; few of them are kept before a snapshot.
+_SNAPSHOT_EVERY = 40
+_REPLACE_SILENT = timedelta(seconds=2)
+
+
+async def open_gateway_log(
+    settings: GatewaySettings,
+    clock: Clock,
+    link: PeerLink,
+    violations: Violations,
+    machine: StateMachine,
+) -> Agreement:
+    """Return the gateway's part in the replicated log.
+
+    Seeds found the voter set at the first start; afterwards the leader keeps enough
+    voters to lose `settings.losses` of them.
+    """
+    seeds = tuple(str(seed) for seed in settings.seeds)
+    owner = LogOwner(
+        name=settings.name,
+        founders=seeds if settings.first_start else (),
+        peers=tuple(name for name in seeds if name != settings.name),
+        data_folder=settings.data_folder,
+    )
+    agreed = AgreementSettings(
+        snapshot_every=_SNAPSHOT_EVERY,
+        target_voters=2 * settings.losses + 1,
+        replace_silent=_REPLACE_SILENT,
+    )
+    return await open_log(owner, agreed, clock, link, violations, machine)
--- a/src/lovagetray/entry/_replicated_log.py
+++ b/src/lovagetray/entry/_replicated_log.py
@@ -1,7 +1,9 @@
 """Opens the replicated log of an instance."""
 
 from datetime import timedelta
+from pathlib import Path
 from random import SystemRandom
+from typing import NamedTuple
 
 from expression import Result
 from structlog import get_logger
@@ -25,6 +27,25 @@
 _RETRY = timedelta(milliseconds=200)
 
 
+class LogOwner(NamedTuple):
+    """Whose part in the replicated log is opened.
+
+    Parameters
+    ----------
+    founders
+        The instances that form the first voter set; empty if it exists already.
+    peers
+        Instances to replicate to from the start.
+    data_folder
+        None for an instance without a disk.
+    """
+
+    name: str
+    founders: tuple[str, ...]
+    peers: tuple[str, ...]
+    data_folder: Path | None
+
+
 async def open_agreement(
     settings: ProcessSettings,
     clock: Clock,
@@ -32,21 +53,36 @@
     violations: Violations,
     machine: StateMachine,
 ) -> Agreement:
-    """Return the instance's part in the replicated log.
+    """Return the entry instance's part in the replicated log."""
+    owner = LogOwner(
+        settings.name, settings.voters, tuple(settings.peers), settings.data_folder
+    )
+    return await open_log(owner, AgreementSettings(), clock, link, violations, machine)
+
+
+async def open_log(
+    owner: LogOwner,
+    settings: AgreementSettings,
+    clock: Clock,
+    link: PeerLink,
+    violations: Violations,
+    machine: StateMachine,
+) -> Agreement:
+    """Return an instance's part in the replicated log.
 
     A corrupt log is set aside and the instance starts with an empty disk, under a new
     identity: it catches up from its peers before it votes again.
     """
     surroundings = Surroundings(
-        name=settings.name,
-        founders=settings.voters,
+        name=owner.name,
+        founders=owner.founders,
         clock=clock,
         link=link,
-        settings=AgreementSettings(),
+        settings=settings,
         violations=violations,
         random=SystemRandom(),
     )
-    folder = settings.data_folder
+    folder = owner.data_folder
     while True:
         disk = None if folder is None else FolderDisk(folder)
         match await Agreement.open(surroundings, disk, machine):
@@ -59,7 +95,7 @@
                 f"{folder.name}.corrupt-{clock.now():%Y%m%d%H%M%S}"
             )
             folder.rename(aside)
-    for name in settings.peers:
+    for name in owner.peers:
         await agreement.add_peer(name)
     return agreement
 
--- a/src/lovagetray/entry/_replicated_state.py
+++ b/src/lovagetray/entry/_replicated_state.py
@@ -11,7 +11,7 @@
 from lovagetray._errors import Failure
 from lovagetray._log_entries import Proposal
 from lovagetray._proposals import Proposer
-from lovagetray.state import ChangeRetention, Ledger, SettingsState
+from lovagetray.state import ChangeRetention, Ledger, RoutingState, SettingsState
 from lovagetray.wire import (
     decode_ledger_command,
     decode_ledger_snapshot,
@@ -25,7 +25,8 @@
 
 _log = get_logger()
 _RETENTION_KEY = "effects.retention"
-_snapshot_decoder = Decoder(tuple[bytes, bytes])
+# Snapshots without routing come from instances that had none.
+_snapshot_decoder = Decoder(tuple[bytes, ...])
 
 
 class Part(Enum):
@@ -33,16 +34,29 @@
 
     SETTINGS = b"S"
     LEDGER = b"L"
+    ROUTING = b"R"
     # Changes nothing; its outcome is the index of the entry.
     BARRIER = b"B"
 
 
 class ReplicatedState:
-    """Settings and ledger as one state machine; the same on every instance."""
-
-    def __init__(self, settings: SettingsState, ledger: Ledger) -> None:
+    """Settings, ledger and routing as one state machine; the same on every instance.
+
+    Parameters
+    ----------
+    routing
+        None on instances that route nothing.
+    """
+
+    def __init__(
+        self,
+        settings: SettingsState,
+        ledger: Ledger,
+        routing: RoutingState | None = None,
+    ) -> None:
         self._settings = settings
         self._ledger = ledger
+        self._routing = routing
 
     def apply(self, index: int, at: datetime, body: bytes) -> bytes:
         """Apply one committed entry and return its encoded outcome."""
@@ -52,6 +66,8 @@
                 return self._apply_settings(index, at, content)
             case b"L":
                 return self._apply_ledger(at, content)
+            case b"R" if self._routing is not None:
+                return str(self._routing.apply(content)).encode()
             case b"B":
                 return str(index).encode()
             case _:
@@ -64,6 +80,7 @@
             (
                 encode_settings_snapshot(self._settings.snapshot()),
                 encode_ledger_snapshot(self._ledger.snapshot()),
+                b"" if self._routing is None else self._routing.snapshot(),
             )
         )
 
@@ -72,8 +89,8 @@
         if not state:
             return
         try:
-            settings, ledger = _snapshot_decoder.decode(state)
-        except (DecodeError, ValidationError):
+            settings, ledger, *routing = _snapshot_decoder.decode(state)
+        except (DecodeError, ValidationError, ValueError):
             _log.error("state_snapshot_unreadable")
             return
         match decode_settings_snapshot(settings):
@@ -86,6 +103,8 @@
                 self._ledger.restore(ledger_snapshot)
             case Result(error=malformed):
                 _log.error("state_snapshot_unreadable", reason=str(malformed))
+        if self._routing is not None and routing:
+            self._routing.restore(routing[0])
 
     def _apply_settings(self, index: int, at: datetime, content: bytes) -> bytes:
         match decode_settings_command(content):
--- /dev/null
+++ b/src/lovagetray/platform/_document.py
@@ -0,0 +1,125 @@
+"""The operator's configuration."""
+
+from datetime import timedelta
+
+from expression import Error, Ok, Result
+from msgspec import DecodeError, Struct, ValidationError, field
+from msgspec.json import Decoder
+
+from lovagetray._routing_errors import UnreadableDocument
+from lovagetray._routing_types import (
+    CallerLimits,
+    Destination,
+    GatherShards,
+    OneService,
+    Repeat,
+    Route,
+    RoutingDocument,
+    ServiceSpec,
+    Share,
+    SplitServices,
+)
+
+_REPEATS = {"safe": Repeat.IDEMPOTENT, "unsafe": Repeat.AT_MOST_ONCE}
+
+
+class _Part(Struct):
+    service: str = field(name="Service")
+    weight: float = field(name="Weight")
+
+
+class _Route(Struct):
+    name: str = field(name="Name")
+    host: str = field(name="Host")
+    prefix: str = field(name="PathPrefix")
+    repeat: str = field(name="RouteType")
+    timeout_ms: float = field(name="TimeoutMs")
+    target_latency_ms: float = field(name="TargetLatencyMs", default=0)
+    priority: int = field(name="Priority", default=0)
+    attempts: int = field(name="MaxAttempts", default=1)
+    service: str | None = field(name="Service", default=None)
+    split: list[_Part] | None = field(name="TrafficSplit", default=None)
+    shards: list[str] | None = field(name="Gather", default=None)
+    top: int = field(name="TopK", default=0)
+    coverage: float = field(name="MinCoverage", default=1.0)
+
+
+class _Service(Struct):
+    name: str = field(name="Name")
+    health_path: str = field(name="HealthPath", default="/health")
+    connections: int = field(name="MaxConnections", default=1)
+
+
+class _Limits(Struct):
+    head_bytes: int = field(name="MaxHeaderBytes", default=16_384)
+    body_bytes: int = field(name="MaxBodyBytes", default=262_144)
+    head_ms: float = field(name="HeaderTimeoutMs", default=3_000)
+    idle_ms: float = field(name="IdleTimeoutMs", default=15_000)
+
+
+class _Document(Struct):
+    version: int = field(name="Version")
+    routes: list[_Route] = field(name="Routes")
+    services: list[_Service] = field(name="Services")
+    limits: _Limits = field(name="Limits", default_factory=_Limits)
+
+
+_decoder = Decoder(_Document)
+
+
+def decode_document(source: bytes) -> Result[RoutingDocument, UnreadableDocument]:
+    """Return the routing document in an operator's body."""
+    try:
+        document = _decoder.decode(source)
+        routes = tuple(_route(route) for route in document.routes)
+    except (DecodeError, ValidationError, ValueError) as error:
+        return Error(UnreadableDocument(str(error)))
+    limits = document.limits
+    return Ok(
+        RoutingDocument(
+            version=document.version,
+            routes=routes,
+            services=tuple(
+                ServiceSpec(one.name, one.health_path, one.connections)
+                for one in document.services
+            ),
+            limits=CallerLimits(
+                limits.head_bytes,
+                limits.body_bytes,
+                timedelta(milliseconds=limits.head_ms),
+                timedelta(milliseconds=limits.idle_ms),
+            ),
+            source=source,
+        )
+    )
+
+
+def _route(route: _Route) -> Route:
+    repeat = _REPEATS.get(route.repeat)
+    if repeat is None:
+        raise ValidationError(f"route {route.name!r} has type {route.repeat!r}")
+    time_limit = timedelta(milliseconds=route.timeout_ms)
+    target = timedelta(milliseconds=route.target_latency_ms)
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        repeat=repeat,
+        time_limit=time_limit,
+        target_latency=target or time_limit,
+        priority=route.priority,
+        attempts=max(1, route.attempts),
+        destination=_destination(route),
+    )
+
+
+def _destination(route: _Route) -> Destination:
+    if route.shards is not None:
+        return GatherShards(tuple(route.shards), route.top, route.coverage)
+    if route.split is not None:
+        return SplitServices(
+            tuple(Share(part.service, part.weight) for part in route.split)
+        )
+    if route.service is not None:
+        return OneService(route.service)
+    raise ValidationError(f"route {route.name!r} names no service")
--- /dev/null
+++ b/src/lovagetray/platform/_run.py
@@ -0,0 +1,93 @@
+"""Runs a gateway on the platform."""
+
+from datetime import timedelta
+from os import environ
+from pathlib import Path
+from sys import stderr, stdout
+
+from curio import run
+from expression import Result
+
+from lovagetray._clock import SystemClock
+from lovagetray._gateway_settings import GatewaySettings
+from lovagetray._telemetry import configure_logging
+from lovagetray._types import Address
+from lovagetray.entry import Gateway, GatewayFormats, GatewayServer
+from lovagetray.platform._caller_calls import CallerCalls, encode_unreadable
+from lovagetray.platform._control_calls import (
+    ControlCalls,
+    encode_unreadable as encode_unreadable_call,
+)
+from lovagetray.platform._document import decode_document
+from lovagetray.platform._replica_calls import decode_reply, replica_encoder
+from lovagetray.platform._settings import SETTINGS_VARIABLE, read_settings
+from lovagetray.wire import CallerServer, HttpLimits, HttpServer
+
+_INVALID_SETTINGS = 3
+# A configuration of 2,000 routes has about 600 KB.
+_CONTROL_LIMITS = HttpLimits(
+    body_bytes=4 * 1024 * 1024, idle_time=timedelta(seconds=30)
+)
+
+
+def run_gateway() -> int:
+    """Run a gateway with the settings file of the environment; return the exit code."""
+    path = Path(environ.get(SETTINGS_VARIABLE, "/etc/lovagetray/settings.toml"))
+    configure_logging(stream=stdout)
+    match read_settings(path):
+        case Result(tag="ok", ok=settings):
+            pass
+        case Result(error=failure):
+            print(failure, file=stderr)
+            return _INVALID_SETTINGS
+    formats = GatewayFormats(decode_document, replica_encoder, decode_reply)
+    gateway = Gateway(settings, formats, SystemClock())
+
+    def reload() -> GatewaySettings | None:
+        return read_settings(path).default_value(None)
+
+    code: int = run(gateway.run, _servers, reload)
+    return code
+
+
+def _servers(gateway: Gateway) -> list[GatewayServer]:
+    clock = SystemClock()
+    addresses = gateway.settings.addresses
+    callers = CallerServer(
+        CallerCalls(gateway).handle,
+        encode_unreadable,
+        clock,
+        lambda: gateway.caller_limits,
+    )
+    calls = HttpServer(
+        ControlCalls(gateway).handle, encode_unreadable_call, clock, _CONTROL_LIMITS
+    )
+    front = GatewayServer(
+        lambda: callers.run(addresses.front),
+        callers.drain,
+        callers.close_idle,
+        lambda: callers.running_requests,
+    )
+    others = sorted({addresses.ready, addresses.control, addresses.directory})
+    return [front, *(_call_server(calls, address) for address in others)]
+
+
+def _call_server(calls: HttpServer, address: Address) -> GatewayServer:
+    return GatewayServer(
+        lambda: calls.run(calls.listen(address)),
+        _nothing,
+        _close_nothing,
+        _none_running,
+    )
+
+
+def _nothing() -> None:
+    """Calls of the platform are served to the end."""
+
+
+async def _close_nothing() -> None:
+    """Calls of the platform are served to the end."""
+
+
+def _none_running() -> int:
+    return 0
--- /dev/null
+++ b/src/lovagetray/queries/dispatch/__init__.py
@@ -0,0 +1,8 @@
+"""Sends one request to one replica of each of several services."""
+
+from lovagetray.queries.dispatch._dispatch import (
+    Dispatch,
+    DispatchTools,
+    RequestEncoder,
+    Slot,
+)
--- /dev/null
+++ b/src/lovagetray/queries/dispatch/_dispatch.py
@@ -0,0 +1,270 @@
+"""Sends one request to one replica of each of several services.
+
+A slot stands for one service. It gets a first attempt, and further ones while attempts,
+budget and time are left. The caller decides when it has waited long enough.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import NamedTuple
+
+from curio import Event
+from expression import Result
+
+from lovagetray._clock import Clock
+from lovagetray._routing_types import (
+    CallerRequest,
+    Repeat,
+    ReplicaNotice,
+    ReplicaReply,
+    Route,
+)
+from lovagetray._target_errors import ConnectFailed, ConnectionLost
+from lovagetray._telemetry import DISPATCH_ATTEMPTS
+from lovagetray.queries.placing import Placement
+from lovagetray.targets import Channels, Exchange, Outcome
+
+# Shorter answers cannot be delivered any more.
+_SHORTEST_WORK = timedelta(milliseconds=2)
+
+
+class RequestEncoder(NamedTuple):
+    """Writes the bytes of a request; what is common to all replicas is written once.
+
+    Parameters
+    ----------
+    common
+        Returns the part that is the same for every replica.
+    complete
+        Returns the whole request for one replica, with the time it may work.
+    """
+
+    common: Callable[[CallerRequest], tuple[bytes, bytes]]
+    complete: Callable[[tuple[bytes, bytes], str, timedelta], bytes]
+
+
+class DispatchTools(NamedTuple):
+    """What every dispatch works with."""
+
+    placement: Placement
+    channels: Channels
+    encoder: RequestEncoder
+    clock: Clock
+
+
+@dataclass(slots=True, eq=False)
+class Slot:
+    """What has become of the request at one service.
+
+    Parameters
+    ----------
+    tried
+        The replicas that it was sent to.
+    out
+        Exchanges that are running.
+    reply
+        The answer: a success, or what is left to pass on.
+    failure_reply
+        The newest response of a replica that is not a success.
+    may_have_run
+        Whether any replica may have worked on it.
+    lost
+        Whether no answer can come any more.
+    """
+
+    service: str
+    tried: set[str] = field(default_factory=set)
+    out: list[Exchange] = field(default_factory=list)
+    reply: ReplicaReply | None = None
+    failure_reply: ReplicaReply | None = None
+    may_have_run: bool = False
+    lost: bool = False
+    failed: bool = False
+    attempts: int = 0
+    first_sent_at: timedelta | None = None
+
+    @property
+    def settled(self) -> bool:
+        """Whether nothing more is expected."""
+        return self.reply is not None or self.lost
+
+
+class Dispatch:
+    """One request on its way to the replicas of some services.
+
+    Parameters
+    ----------
+    limit_at
+        When the caller's time ends, on the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        tools: DispatchTools,
+        request: CallerRequest,
+        route: Route,
+        services: tuple[str, ...],
+        limit_at: timedelta,
+    ) -> None:
+        self._tools = tools
+        self._request = request
+        self._route = route
+        self._limit_at = limit_at
+        self._encoded = tools.encoder.common(request)
+        self._changed = Event()
+        self._wake_on_any = False
+        self._slot_of: dict[Exchange, Slot] = {}
+        self.slots = [Slot(service) for service in services]
+        self.answered = 0
+        self.hedges = 0
+        self.retries = 0
+
+    @property
+    def lost(self) -> int:
+        """How many slots will get no answer."""
+        return sum(slot.lost for slot in self.slots)
+
+    @property
+    def settled(self) -> bool:
+        """Whether every slot is answered or lost."""
+        return all(slot.settled for slot in self.slots)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any replica may have worked on the request."""
+        return any(slot.may_have_run or slot.out for slot in self.slots)
+
+    async def start(self) -> None:
+        """Send the first attempt for every slot."""
+        for slot in self.slots:
+            self._tools.placement.budget.request(slot.service)
+            if not await self._attempt(slot, "first"):
+                slot.lost = True
+
+    async def wait(self, until: timedelta, for_any: bool = False) -> None:
+        """Wait until a slot needs a decision or all are settled; at most to `until`.
+
+        Parameters
+        ----------
+        for_any
+            Whether any answer ends the wait.
+        """
+        self._wake_on_any = for_any
+        left = until - self._tools.clock.elapsed()
+        if left > timedelta(0) and not self._changed.is_set():
+            await self._tools.clock.within(left, self._changed.wait())
+        self._changed.clear()
+        await self._retry_failed()
+
+    async def hedge(self) -> None:
+        """Send a second attempt for each slot whose first one is out for too long."""
+        delay = self._tools.placement.hedge_delay(self._route)
+        now = self._tools.clock.elapsed()
+        for slot in self.slots:
+            if slot.settled or len(slot.out) != 1 or slot.first_sent_at is None:
+                continue
+            if now - slot.first_sent_at < delay:
+                continue
+            if self._may_repeat(slot) and await self._attempt(slot, "hedge"):
+                self.hedges += 1
+
+    async def abandon(self) -> None:
+        """End the interest in all running exchanges."""
+        await self._tools.channels.abandon(self._slot_of)
+
+    async def deliver(self, exchange: Exchange, outcome: Outcome) -> None:
+        """Take the outcome of an exchange; called by the task of its connection."""
+        slot = self._slot_of.pop(exchange)
+        slot.out.remove(exchange)
+        replica = exchange.notice.replica
+        placement = self._tools.placement
+        latency = placement.ended(replica, exchange)
+        match outcome:
+            case Result(tag="ok", ok=reply):
+                placement.answered(self._route, replica, reply, latency)
+                await self._take_reply(slot, reply)
+            case Result(error=ConnectFailed()):
+                placement.unreachable(replica)
+                slot.attempts -= 1
+                await self._note_failure(slot)
+            case Result(error=ConnectionLost()):
+                slot.may_have_run = True
+                if exchange.abandoned_at is None:
+                    placement.lost(replica)
+                await self._note_failure(slot)
+            case _:
+                slot.may_have_run = True
+                await self._note_failure(slot)
+
+    async def _take_reply(self, slot: Slot, reply: ReplicaReply) -> None:
+        if slot.settled:
+            return
+        if reply.succeeded:
+            slot.may_have_run = True
+            slot.reply = reply
+            self.answered += 1
+            if self._wake_on_any or self.settled:
+                await self._changed.set()
+            return
+        if not reply.not_run:
+            slot.may_have_run = True
+            slot.failure_reply = reply
+        await self._note_failure(slot)
+
+    async def _note_failure(self, slot: Slot) -> None:
+        if not slot.settled and not slot.out:
+            slot.failed = True
+            await self._changed.set()
+
+    async def _retry_failed(self) -> None:
+        for slot in self.slots:
+            if not slot.failed or slot.settled:
+                continue
+            slot.failed = False
+            if not (self._may_repeat(slot) and await self._attempt(slot, "retry")):
+                slot.lost = True
+            else:
+                self.retries += 1
+
+    def _may_repeat(self, slot: Slot) -> bool:
+        """Tell whether the request may be sent to another replica."""
+        if slot.attempts >= self._route.attempts:
+            return False
+        if self._route.repeat is Repeat.AT_MOST_ONCE:
+            if slot.may_have_run or slot.out:
+                return False
+        return self._tools.clock.elapsed() + _SHORTEST_WORK < self._limit_at
+
+    async def _attempt(self, slot: Slot, kind: str) -> bool:
+        """Send the slot's request to one more replica; False if there is none."""
+        placement, channels = self._tools.placement, self._tools.channels
+        notice = self._choose(slot)
+        if notice is None:
+            return False
+        if slot.attempts > 0 and not placement.budget.take(slot.service):
+            return False
+        now = self._tools.clock.elapsed()
+        payload = self._tools.encoder.complete(
+            self._encoded, notice.replica, self._limit_at - now
+        )
+        exchange = Exchange(
+            notice, self._request.request_id, payload, self, self._limit_at
+        )
+        slot.tried.add(notice.replica)
+        slot.out.append(exchange)
+        slot.attempts += 1
+        slot.first_sent_at = slot.first_sent_at or now
+        self._slot_of[exchange] = slot
+        placement.sent(notice.replica, exchange)
+        DISPATCH_ATTEMPTS[kind].inc()
+        if await channels.start(exchange):
+            return True
+        self._slot_of.pop(exchange)
+        slot.out.remove(exchange)
+        slot.attempts -= 1
+        placement.ended(notice.replica, exchange)
+        return await self._attempt(slot, kind)
+
+    def _choose(self, slot: Slot) -> ReplicaNotice | None:
+        return self._tools.placement.choose(self._route, slot.service, slot.tried)
--- /dev/null
+++ b/src/lovagetray/queries/gathering/_gather.py
@@ -0,0 +1,131 @@
+"""Answers a query over all shards of one routing document."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from expression import Error, Ok, Result
+from structlog import get_logger
+
+from lovagetray._routing_errors import (
+    ForwardFailure,
+    RequestFailed,
+    RequestNotRun,
+    TimeLimitReached,
+)
+from lovagetray._routing_types import CallerRequest, GatherShards, Route
+from lovagetray.queries.dispatch import Dispatch, DispatchTools
+from lovagetray.queries.gathering._merge import greatest_records
+from lovagetray.queries.gathering._patience import (
+    AnswerNow,
+    Patience,
+    WaitUntil,
+    patience,
+)
+
+_log = get_logger()
+# A replica that crashed is back or replaced after some seconds; callers wait for a third
+# of their time at most.
+_RETRY_UNREACHABLE = timedelta(milliseconds=200)
+# Shares are fractions of small numbers; 8 of 9 shards must count as 0.8889.
+_ROUNDING = 1e-9
+
+
+class GatheredAnswer(NamedTuple):
+    """The merged answer of a query.
+
+    Parameters
+    ----------
+    signatures
+        One for each shard that is included.
+    missing
+        How many shards are not included.
+    records
+        The greatest records, greatest first.
+    """
+
+    signatures: tuple[str, ...]
+    missing: int
+    records: bytes
+
+
+async def gather(
+    tools: DispatchTools,
+    request: CallerRequest,
+    route: Route,
+    destination: GatherShards,
+) -> Result[GatheredAnswer, ForwardFailure]:
+    """Return the merged answer of enough shards, or why there is none."""
+    clock = tools.clock
+    began_at = clock.elapsed()
+    limit = min(route.time_limit, request.time_left or route.time_limit)
+    reachable = sum(tools.placement.reachable(shard) for shard in destination.shards)
+    if not _enough(reachable, destination):
+        return Error(RequestNotRun("too few shards can be reached", _RETRY_UNREACHABLE))
+    plan = patience(began_at, route.target_latency, limit)
+    dispatch = Dispatch(tools, request, route, destination.shards, began_at + limit)
+    try:
+        await dispatch.start()
+        await _collect(dispatch, tools, route, destination, plan)
+    finally:
+        await dispatch.abandon()
+    return _answer(dispatch, request, destination, limit, clock.elapsed() - began_at)
+
+
+async def _collect(
+    dispatch: Dispatch,
+    tools: DispatchTools,
+    route: Route,
+    destination: GatherShards,
+    plan: Patience,
+) -> None:
+    """Wait for answers, with second attempts, until the query is to be answered."""
+    clock = tools.clock
+    hedge_at = clock.elapsed() + tools.placement.hedge_delay(route)
+    hedged = False
+    while not dispatch.settled:
+        if not _enough(len(dispatch.slots) - dispatch.lost, destination):
+            return
+        now = clock.elapsed()
+        if now >= hedge_at and not hedged:
+            hedged = True
+            await dispatch.hedge()
+        match plan.decide(now, _enough(dispatch.answered, destination)):
+            case AnswerNow():
+                return
+            case WaitUntil(at=at, for_any=for_any):
+                await dispatch.wait(at if hedged else min(at, hedge_at), for_any)
+
+
+def _enough(shards: int, destination: GatherShards) -> bool:
+    share = shards / len(destination.shards)
+    return shards > 0 and share + _ROUNDING >= destination.coverage
+
+
+def _answer(
+    dispatch: Dispatch,
+    request: CallerRequest,
+    destination: GatherShards,
+    limit: timedelta,
+    took: timedelta,
+) -> Result[GatheredAnswer, ForwardFailure]:
+    replies = [slot.reply for slot in dispatch.slots if slot.reply is not None]
+    missing = len(dispatch.slots) - len(replies)
+    if missing or dispatch.retries:
+        _log.info(
+            "query_incomplete" if missing else "query_repaired",
+            request_id=request.request_id,
+            included=len(replies),
+            missing=[slot.service for slot in dispatch.slots if slot.reply is None],
+            hedges=dispatch.hedges,
+            retries=dispatch.retries,
+            took_ms=round(took.total_seconds() * 1000, 1),
+        )
+    if _enough(len(replies), destination):
+        records = greatest_records([reply.body for reply in replies], destination.top)
+        signatures = tuple(reply.signature for reply in replies)
+        return Ok(GatheredAnswer(signatures, missing, records))
+    if not dispatch.may_have_run:
+        return Error(RequestNotRun("no replica accepted it", _RETRY_UNREACHABLE))
+    if took >= limit * 0.9:
+        return Error(TimeLimitReached(limit))
+    return Error(RequestFailed(f"{missing} of {len(dispatch.slots)} shards failed"))
--- /dev/null
+++ b/src/lovagetray/queries/placing/_extra_budget.py
@@ -0,0 +1,84 @@
+"""Limits the second attempts of all instances together."""
+
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+
+from lovagetray._clock import Clock
+
+# Instances see the fleet with a delay; what one holds too much, this leaves over.
+_SAFETY = 0.8
+
+
+class _Window:
+    """Counts events of the last `length`."""
+
+    def __init__(self, length: timedelta) -> None:
+        self._length = length
+        self._times: deque[timedelta] = deque()
+
+    def add(self, now: timedelta) -> None:
+        self._times.append(now)
+
+    def count(self, now: timedelta) -> int:
+        while self._times and now - self._times[0] > self._length:
+            self._times.popleft()
+        return len(self._times)
+
+
+class ExtraBudget:
+    """Second attempts by service, within a sliding window.
+
+    In any window a service may get `ratio` times its requests plus `fixed` second
+    attempts, over all instances. Each instance uses the ratio of its own requests and
+    its part of the fixed number.
+
+    Parameters
+    ----------
+    instances
+        Returns how many instances share the fixed number.
+    """
+
+    def __init__(
+        self,
+        ratio: float,
+        fixed: int,
+        window: timedelta,
+        clock: Clock,
+        instances: Callable[[], int],
+    ) -> None:
+        self._ratio = ratio
+        self._fixed = fixed
+        self._window = window
+        self._clock = clock
+        self._instances = instances
+        self._requests: dict[str, _Window] = {}
+        self._extras: dict[str, _Window] = {}
+
+    def request(self, service: str) -> None:
+        """Count a request for a service."""
+        window = self._requests.get(service)
+        if window is None:
+            window = self._requests[service] = _Window(self._window)
+        window.add(self._clock.elapsed())
+        window.count(self._clock.elapsed())
+
+    def left(self, service: str) -> float:
+        """Return how many second attempts may be sent now."""
+        now = self._clock.elapsed()
+        requests = self._requests.get(service)
+        extras = self._extras.get(service)
+        counted = 0 if requests is None else requests.count(now)
+        used = 0 if extras is None else extras.count(now)
+        allowed = self._ratio * counted + self._fixed / max(1, self._instances())
+        return allowed * _SAFETY - used
+
+    def take(self, service: str) -> bool:
+        """Use one second attempt; False if none is left."""
+        if self.left(service) < 1:
+            return False
+        window = self._extras.get(service)
+        if window is None:
+            window = self._extras[service] = _Window(self._window)
+        window.add(self._clock.elapsed())
+        return True
--- /dev/null
+++ b/src/lovagetray/queries/placing/_records.py
@@ -0,0 +1,99 @@
+"""What an instance has measured of replicas and of routes."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from lovagetray._routing_types import ReplicaLoad
+
+# Weight of the newest of about ten observations.
+_SMOOTHING = 0.15
+# Step of the quantile estimate, as a share of the current estimate.
+_QUANTILE_STEP = 0.05
+_FIRST_AVOIDANCE = timedelta(milliseconds=250)
+_LONGEST_AVOIDANCE = timedelta(seconds=2)
+# A report of load describes the moment of the reply; it fades within this time.
+_LOAD_FADES = timedelta(milliseconds=300)
+
+
+@dataclass(slots=True)
+class ReplicaRecord:
+    """What this instance knows of one replica from its own exchanges.
+
+    Parameters
+    ----------
+    slowness
+        Latency relative to the mean of its service's route; 1 is the mean.
+    failure_share
+        Recent share of exchanges that failed, 0 to 1.
+    out
+        When each running exchange was sent, in order.
+    """
+
+    slowness: float = 1.0
+    failure_share: float = 0.0
+    out: dict[object, timedelta] = field(default_factory=dict)
+    load: ReplicaLoad | None = None
+    load_at: timedelta = timedelta(0)
+    avoid_until: timedelta = timedelta(0)
+    avoidance: timedelta = timedelta(0)
+
+    def succeeded(self, ratio: float) -> None:
+        """Record an answer; `ratio` is its latency over the mean of the route."""
+        self.slowness += _SMOOTHING * (min(ratio, 10.0) - self.slowness)
+        self.failure_share -= _SMOOTHING * self.failure_share
+        self.avoidance = timedelta(0)
+        self.avoid_until = timedelta(0)
+
+    def failed(self, now: timedelta) -> None:
+        """Record a failure that the replica may be blamed for."""
+        self.failure_share += _SMOOTHING * (1 - self.failure_share)
+
+    def unreachable(self, now: timedelta) -> None:
+        """Record that no connection was possible; avoided for a growing time."""
+        self.failed(now)
+        self.avoidance = min(
+            max(_FIRST_AVOIDANCE, 2 * self.avoidance), _LONGEST_AVOIDANCE
+        )
+        self.avoid_until = now + self.avoidance
+
+    def reported(self, load: ReplicaLoad, now: timedelta) -> None:
+        """Record the load that came with a reply."""
+        self.load = load
+        self.load_at = now
+
+    def oldest(self, now: timedelta) -> timedelta:
+        """Return how long the oldest running exchange has been out."""
+        for sent_at in self.out.values():
+            return now - sent_at
+        return timedelta(0)
+
+    def busy(self, slots: int, now: timedelta) -> float:
+        """Return the expected number of requests ahead, in units of slots."""
+        reported = 0.0
+        if self.load is not None:
+            fresh = max(0.0, 1 - (now - self.load_at) / _LOAD_FADES)
+            reported = fresh * (self.load.running + self.load.waiting)
+        return max(float(len(self.out)), reported) / max(1, slots)
+
+
+@dataclass(slots=True)
+class RouteRecord:
+    """Latency of one replica's answers on a route.
+
+    Parameters
+    ----------
+    mean, late
+        Mean and upper quantile, in seconds.
+    """
+
+    mean: float
+    late: float
+
+    def observe(self, seconds: float, quantile: float) -> None:
+        """Record one latency."""
+        self.mean += 0.05 * (min(seconds, 10 * self.mean) - self.mean)
+        step = _QUANTILE_STEP * self.late
+        if seconds > self.late:
+            self.late += step * quantile
+        else:
+            self.late -= step * (1 - quantile)
--- a/src/lovagetray/state/__init__.py
+++ b/src/lovagetray/state/__init__.py
@@ -42,6 +42,15 @@
     Members,
     Sighting,
 )
+from lovagetray.state._replicas import KnownReplica, ReplicaBook
+from lovagetray.state._routing import (
+    DocumentDecoder,
+    RoutingState,
+    RoutingTable,
+    build_table,
+    document_problems,
+    route_services,
+)
 from lovagetray.state._setting_checks import COMBINATION_CHECKS
 from lovagetray.state._setting_keys import (
     SETTING_KEYS,
--- /dev/null
+++ b/src/lovagetray/state/_replicas.py
@@ -0,0 +1,140 @@
+"""The replicas that have announced themselves, as one instance knows them."""
+
+from collections.abc import Iterable, Iterator
+from datetime import timedelta
+from typing import NamedTuple
+
+from lovagetray._routing_types import ReplicaNotice, ReplicaRun, ReplicaState
+from lovagetray._types import Address
+
+_NOTHING = (-1, False, -1)
+
+
+class KnownReplica(NamedTuple):
+    """A replica's newest notice and when it was heard, on the monotonic clock."""
+
+    notice: ReplicaNotice
+    heard_at: timedelta
+
+
+class ReplicaBook:
+    """Announced replicas; the announcing commands are its only writers.
+
+    A replica that left, or whose address was taken over, stays in the book until it is
+    forgotten, so that a late notice cannot bring it back.
+
+    Parameters
+    ----------
+    lifetime
+        How long a notice counts after it was heard.
+    memory
+        How long a replica that is not heard any more is remembered.
+    """
+
+    def __init__(self, lifetime: timedelta, memory: timedelta) -> None:
+        self._lifetime = lifetime
+        self._memory = memory
+        self._known: dict[str, KnownReplica] = {}
+        self._owners: dict[Address, str] = {}
+        self._services: dict[str, dict[str, KnownReplica]] = {}
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """Rises whenever the set of usable replicas may have changed."""
+        return self._revision
+
+    def accept(self, notice: ReplicaNotice, heard_at: timedelta) -> bool:
+        """Record a notice; return whether it tells something new to other instances."""
+        held = self._known.get(notice.replica)
+        if held is not None and notice.order <= held.notice.order:
+            return False
+        changed = held is None or _substance(held.notice) != _substance(notice)
+        if self._is_superseded(notice):
+            notice = notice._replace(state=ReplicaState.LEFT)
+            changed = held is None or held.notice.state is not ReplicaState.LEFT
+        self._store(notice, heard_at)
+        return changed
+
+    def leave(self, replica: str, heard_at: timedelta) -> ReplicaNotice | None:
+        """Mark a replica as gone; return its notice, or None if it is unknown."""
+        held = self._known.get(replica)
+        if held is None:
+            return None
+        notice = held.notice
+        if notice.state is not ReplicaState.LEFT:
+            notice = notice._replace(state=ReplicaState.LEFT)
+            self._store(notice, heard_at)
+        return notice
+
+    def find(self, replica: str) -> ReplicaNotice | None:
+        """Return the newest notice of a replica."""
+        held = self._known.get(replica)
+        return None if held is None else held.notice
+
+    def usable(self, service: str, now: timedelta) -> list[ReplicaNotice]:
+        """Return the ready replicas of a service that were heard lately."""
+        return [
+            known.notice
+            for known in self._services.get(service, {}).values()
+            if known.notice.state is ReplicaState.READY
+            and now - known.heard_at <= self._lifetime
+        ]
+
+    def runs(self) -> Iterator[ReplicaRun]:
+        """Return what is held, for another instance to compare."""
+        for known in self._known.values():
+            yield ReplicaRun(known.notice.replica, known.notice.order)
+
+    def newer_than(self, runs: Iterable[ReplicaRun]) -> list[KnownReplica]:
+        """Return what is newer here than in `runs`."""
+        theirs = {run.replica: run.order for run in runs}
+        return [
+            known
+            for known in self._known.values()
+            if known.notice.order > theirs.get(known.notice.replica, _NOTHING)
+        ]
+
+    def forget(self, now: timedelta) -> None:
+        """Drop replicas that were not heard for longer than `memory`."""
+        for known in list(self._known.values()):
+            if now - known.heard_at > self._memory:
+                self._remove(known.notice)
+
+    def _is_superseded(self, notice: ReplicaNotice) -> bool:
+        """Tell whether a later start has taken over the address of a notice."""
+        owner = self._owners.get(notice.address)
+        if owner is None or owner == notice.replica:
+            return False
+        return self._known[owner].notice.born > notice.born
+
+    def _store(self, notice: ReplicaNotice, heard_at: timedelta) -> None:
+        held = self._known.get(notice.replica)
+        if held is not None:
+            self._remove(held.notice)
+        owner = self._owners.get(notice.address)
+        if owner is not None and notice.state is not ReplicaState.LEFT:
+            self._end(owner)
+        known = KnownReplica(notice, heard_at)
+        self._known[notice.replica] = known
+        self._services.setdefault(notice.service, {})[notice.replica] = known
+        if notice.state is not ReplicaState.LEFT:
+            self._owners[notice.address] = notice.replica
+        self._revision += 1
+
+    def _end(self, replica: str) -> None:
+        known = self._known[replica]
+        ended = known._replace(notice=known.notice._replace(state=ReplicaState.LEFT))
+        self._known[replica] = ended
+        self._services[known.notice.service][replica] = ended
+
+    def _remove(self, notice: ReplicaNotice) -> None:
+        self._known.pop(notice.replica, None)
+        self._services.get(notice.service, {}).pop(notice.replica, None)
+        if self._owners.get(notice.address) == notice.replica:
+            del self._owners[notice.address]
+
+
+def _substance(notice: ReplicaNotice) -> ReplicaNotice:
+    """Return what other instances must know at once."""
+    return notice._replace(sequence=0, warm_up=timedelta(0))
--- a/src/lovagetray/targets/__init__.py
+++ b/src/lovagetray/targets/__init__.py
@@ -1,6 +1,14 @@
 """What the owner of a replica does with it, and how others reach the owner."""
 
 from lovagetray.targets._access import TargetAccess
+from lovagetray.targets._channel import (
+    Channel,
+    ChannelFailure,
+    Exchange,
+    Outcome,
+    ReplyDecoder,
+)
+from lovagetray.targets._channels import Channels
 from lovagetray.targets._connection import Silent, TargetConnection, TargetDialer
 from lovagetray.targets._http_dialer import HttpDialer
 from lovagetray.targets._pool import ReplicaPool
--- a/src/lovagetray/wire/__init__.py
+++ b/src/lovagetray/wire/__init__.py
@@ -9,6 +9,7 @@
     encode_failure,
     search_request,
 )
+from lovagetray.wire._caller_server import CallerServer, RawRequest, RawResponse
 from lovagetray.wire._effect_json import decode_effect_request, encode_effect_answer
 from lovagetray.wire._http import HttpRequest, HttpResponse
 from lovagetray.wire._http_client import HttpConnection
