--- /dev/null
+++ b/features/fakes/replica_script.py
@@ -0,0 +1,149 @@
+"""Replicas that answer exchanges by a script, in virtual time."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+from typing import Any, NamedTuple
+
+from curio import spawn
+from expression import Error, Ok
+
+from lovagetray import Address, SystemClock
+from lovagetray._routing_types import (
+    CallerRequest,
+    ReplicaLoad,
+    ReplicaNotice,
+    ReplicaReply,
+    ReplicaState,
+)
+from lovagetray._target_errors import ConnectFailed, ConnectionLost
+from lovagetray.queries.dispatch import DispatchTools, RequestEncoder
+from lovagetray.queries.placing import ExtraBudget, Placement
+from lovagetray.state import ReplicaBook
+from lovagetray.targets import Exchange
+
+_LONG = timedelta(hours=1)
+
+
+class Play(NamedTuple):
+    """What a replica does with its next requests.
+
+    Parameters
+    ----------
+    what
+        answer, fail, shed, reset, refuse or silence.
+    """
+
+    what: str = "answer"
+    after: timedelta = timedelta(milliseconds=10)
+    body: bytes = b""
+    status: int = 500
+
+
+class ScriptedChannels:
+    """Stands in for the connections to replicas."""
+
+    def __init__(self) -> None:
+        self.plays: dict[str, Play] = {}
+        self.arrived: list[tuple[str, str]] = []
+        self.payloads: list[bytes] = []
+        self.abandoned: list[Exchange] = []
+
+    async def start(self, exchange: Exchange) -> bool:
+        exchange.sent_at = SystemClock().elapsed()
+        self.payloads.append(exchange.payload)
+        await spawn(self._run, exchange, daemon=True)
+        return True
+
+    async def abandon(self, exchanges: Any) -> None:
+        self.abandoned += list(exchanges)
+
+    async def _run(self, exchange: Exchange) -> None:
+        replica = exchange.notice.replica
+        play = self.plays.get(replica, Play())
+        if play.what != "refuse":
+            self.arrived.append((exchange.notice.service, replica))
+        if play.what == "silence":
+            return
+        await SystemClock().sleep(play.after)
+        match play.what:
+            case "answer":
+                signature = f"stamp-{replica}-{len(self.arrived)}"
+                body = play.body or replica.encode().ljust(16, b".")[:16]
+                outcome: Any = Ok(_reply(200, signature, body, False))
+            case "fail":
+                outcome = Ok(_reply(play.status, f"stamp-{replica}", b"broken", False))
+            case "shed":
+                outcome = Ok(_reply(503, "", b"", True))
+            case "refuse":
+                outcome = Error(ConnectFailed(replica))
+            case _:
+                outcome = Error(ConnectionLost(replica))
+        await exchange.waiter.deliver(exchange, outcome)
+
+
+class ReplicaBench(NamedTuple):
+    """Everything that a dispatch needs, on scripted replicas."""
+
+    book: ReplicaBook
+    channels: ScriptedChannels
+    tools: DispatchTools
+    placement: Placement
+
+
+def bench(
+    services: dict[str, int],
+    ratio: float = 1.0,
+    fixed: int = 100,
+    instances: Callable[[], int] = lambda: 1,
+) -> ReplicaBench:
+    """Return a bench with a number of ready replicas for each service."""
+    clock = SystemClock()
+    book = ReplicaBook(_LONG, _LONG)
+    for service, count in services.items():
+        for number in range(1, count + 1):
+            book.accept(notice(f"{service}-{number}", service), clock.elapsed())
+    budget = ExtraBudget(ratio, fixed, timedelta(seconds=10), clock, instances)
+    placement = Placement(book, budget, clock, Random(1), "here")
+    channels = ScriptedChannels()
+    encoder = RequestEncoder(
+        lambda request: (request.target, request.body),
+        lambda common, replica, left: common[0] + b" " + replica.encode(),
+    )
+    tools = DispatchTools(placement, channels, encoder, clock)  # type: ignore
+    return ReplicaBench(book, channels, tools, placement)
+
+
+_PORTS: dict[str, int] = {}
+
+
+def notice(
+    replica: str,
+    service: str = "s",
+    state: ReplicaState = ReplicaState.READY,
+    born: int = 1000,
+    sequence: int = 1,
+    port: int | None = None,
+) -> ReplicaNotice:
+    """Return a replica's notice at an address of its own."""
+    address = Address("127.0.0.1", port or _PORTS.setdefault(replica, len(_PORTS) + 1))
+    return ReplicaNotice(
+        replica, service, address, "here", state, born, sequence, 4, timedelta(0)
+    )
+
+
+def caller_request(
+    time_left: timedelta | None = timedelta(seconds=2), body: bytes = b""
+) -> CallerRequest:
+    """Return a request of a caller."""
+    return CallerRequest(
+        "request-1", b"GET", b"/search/1?q=a", "host.example", (), body, time_left
+    )
+
+
+def _reply(status: int, signature: str, body: bytes, not_run: bool) -> ReplicaReply:
+    headers = ((b"Content-Type", b"text/plain"),)
+    load = ReplicaLoad(1, 0, 4)
+    return ReplicaReply(
+        status, headers, body, "request-1", signature, not_run, False, load
+    )
--- a/src/lovagetray/entry/__init__.py
+++ b/src/lovagetray/entry/__init__.py
@@ -1,6 +1,5 @@
 """The entry instance as a process."""
 
-from lovagetray.entry._gateway import Gateway, GatewayFormats, GatewayServer
 from lovagetray.entry._instance import EntryInstance
 from lovagetray.entry._operators import Operators
 from lovagetray.entry._router import Router
--- a/src/lovagetray/entry/_instance.py
+++ b/src/lovagetray/entry/_instance.py
@@ -28,18 +28,20 @@
 from lovagetray.entry._owner_retries import OwnerRetries
 from lovagetray.entry._query_routes import QueryRoutes
 from lovagetray.entry._replicated_ledger import ReplicatedLedger
-from lovagetray.entry._replicated_log import (
-    open_agreement,
-    wait_for_lease,
-    wait_until_current,
-)
-from lovagetray.entry._replicated_state import Part, PartProposer, ReplicatedState
 from lovagetray.entry._router import Route, Router
 from lovagetray.entry._settings_command_routes import SettingsCommandRoutes
 from lovagetray.entry._settings_in_force import SettingsInForce
 from lovagetray.entry._settings_query_routes import SettingsQueryRoutes
 from lovagetray.queries.search import Searcher
 from lovagetray.queries.settings import announced_paths
+from lovagetray.replicated import (
+    Part,
+    PartProposer,
+    ReplicatedState,
+    open_agreement,
+    wait_for_lease,
+    wait_until_current,
+)
 from lovagetray.state import (
     Directory,
     InstanceRecord,
--- a/src/lovagetray/entry/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -42,14 +42,18 @@
 from lovagetray._violations import Violations
 from lovagetray.commands.announcing import Announcing
 from lovagetray.commands.routing import put_document
-from lovagetray.entry._dispatcher import Dispatcher
-from lovagetray.entry._gateway_log import open_gateway_log
-from lovagetray.entry._replicated_log import wait_until_current
-from lovagetray.entry._replicated_state import Part, PartProposer, ReplicatedState
+from lovagetray.gateway._dispatcher import Dispatcher
+from lovagetray.gateway._gateway_log import open_gateway_log
 from lovagetray.queries.dispatch import DispatchTools, RequestEncoder
 from lovagetray.queries.gathering import GatheredAnswer
 from lovagetray.queries.placing import ExtraBudget, Placement
 from lovagetray.queries.routing import AddressList, addresses_for, current_document
+from lovagetray.replicated import (
+    Part,
+    PartProposer,
+    ReplicatedState,
+    wait_until_current,
+)
 from lovagetray.state import (
     DocumentDecoder,
     InstanceRecord,
--- a/src/lovagetray/entry/_gateway_log.py
+++ b/src/lovagetray/gateway/_gateway_log.py
@@ -11,7 +11,7 @@
     PeerLink,
     StateMachine,
 )
-from lovagetray.entry._replicated_log import LogOwner, open_log
+from lovagetray.replicated import LogOwner, open_log
 
 # A routing document may have 100 KB; few of them are kept before a snapshot.
 _SNAPSHOT_EVERY = 40
--- a/src/lovagetray/platform/_caller_calls.py
+++ b/src/lovagetray/platform/_caller_calls.py
@@ -15,7 +15,7 @@
     TimeLimitReached,
 )
 from lovagetray._routing_types import CallerRequest, ReplicaReply
-from lovagetray.entry import Gateway
+from lovagetray.gateway import Gateway
 from lovagetray.queries.gathering import GatheredAnswer
 from lovagetray.wire import RawRequest, RawResponse
 
--- a/src/lovagetray/platform/_control_calls.py
+++ b/src/lovagetray/platform/_control_calls.py
@@ -13,7 +13,7 @@
     UnreadableNotice,
 )
 from lovagetray._routing_types import RoutingDocument
-from lovagetray.entry import Gateway
+from lovagetray.gateway import Gateway
 from lovagetray.platform._document import decode_document
 from lovagetray.platform._notices import decode_notice
 from lovagetray.wire import HttpRequest, HttpResponse
--- a/src/lovagetray/platform/_run.py
+++ b/src/lovagetray/platform/_run.py
@@ -12,7 +12,7 @@
 from lovagetray._gateway_settings import GatewaySettings
 from lovagetray._telemetry import configure_logging
 from lovagetray._types import Address
-from lovagetray.entry import Gateway, GatewayFormats, GatewayServer
+from lovagetray.gateway import Gateway, GatewayFormats, GatewayServer
 from lovagetray.platform._caller_calls import CallerCalls, encode_unreadable
 from lovagetray.platform._control_calls import (
     ControlCalls,
--- a/src/lovagetray/entry/_replicated_log.py
+++ b/src/lovagetray/replicated/_log.py
@@ -21,7 +21,7 @@
     StateMachine,
     Surroundings,
 )
-from lovagetray.entry._replicated_state import Part, PartProposer
+from lovagetray.replicated._state import Part, PartProposer
 
 _log = get_logger()
 _RETRY = timedelta(milliseconds=200)
