Address lists live as long as the settings allow

Cause: a query took 10 ms inside the gateway and 28 ms for the caller; a third of the requests came after a look-up at the directory, which takes two round trips.

--- a/src/lovagetray/_gateway_settings.py
+++ b/src/lovagetray/_gateway_settings.py
@@ -62,6 +62,9 @@
         How often a replica announces itself.
     grace
         Time between the order to stop and the kill.
+    address_lifetime
+        How long callers may keep a list of addresses. Asking costs a caller a round
+        trip or two, so a longer one is faster.
     """
 
     data_centre: str
@@ -72,6 +75,7 @@
     losses: int
     notice_interval: timedelta
     grace: timedelta
+    address_lifetime: timedelta
     extra_attempts: ExtraAttemptLimits
 
     @property
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -69,7 +69,7 @@
 from lovagetray.wire import Peers
 
 _log = get_logger()
-# Callers wait a second for an instance that does not answer; it is not listed after less.
+# Callers wait a second for an instance that does not answer.
 _HEARTBEAT = timedelta(milliseconds=300)
 _SUSPICION = timedelta(milliseconds=950)
 _HOUSEKEEPING = timedelta(seconds=1)
@@ -78,9 +78,9 @@
 _FORGET_REPLICA = timedelta(minutes=2)
 # An instance with a disk serves its last document if no leader is found within this.
 _CONFIRM_LIMIT = timedelta(seconds=10)
-# Callers keep an address list for three lifetimes of a second; then nobody new comes.
-_SERVE_AFTER_STOP = timedelta(milliseconds=4300)
-# Before the kill, for the last answers and the hand-over.
+# Most callers have a new address list after its lifetime.
+_LIST_MARGIN = timedelta(milliseconds=300)
+# Before the kill, for the last answers.
 _STOP_MARGIN = timedelta(milliseconds=500)
 _STOP_POLL = timedelta(milliseconds=50)
 _HAND_OVER_LIMIT = timedelta(seconds=2)
@@ -206,7 +206,8 @@
 
     def addresses(self) -> AddressList:
         """Return the addresses that callers connect to."""
-        return addresses_for(self._members, self._clock.elapsed())
+        now = self._clock.elapsed()
+        return addresses_for(self._members, now, self._settings.address_lifetime)
 
     async def run(
         self,
@@ -295,7 +296,8 @@
         front.drain()
         await self._clock.within(_HAND_OVER_LIMIT, self._agreement.hand_over())
         latest = self._settings.grace - _STOP_MARGIN
-        serve_until = began_at + min(_SERVE_AFTER_STOP, latest)
+        listed = self._settings.address_lifetime + _LIST_MARGIN
+        serve_until = began_at + min(listed, latest)
         await self._clock.sleep(serve_until - self._clock.elapsed())
         while self._clock.elapsed() < began_at + latest:
             await front.close_idle()
--- a/src/lovagetray/gateway/_gateway_log.py
+++ b/src/lovagetray/gateway/_gateway_log.py
@@ -16,8 +16,8 @@
 # A routing document may have 100 KB; few of them are kept before a snapshot.
 _SNAPSHOT_EVERY = 40
 _REPLACE_SILENT = timedelta(seconds=2)
-# Instances are at most 2 ms apart and a slow disk syncs in 125 ms. After a loss of power
-# nobody is served until there is a leader, so elections are short.
+# Instances are at most 2 ms apart and a slow disk syncs in 125 ms. After a loss of
+# power nobody is served until there is a leader, so elections are short.
 _HEARTBEAT = timedelta(milliseconds=100)
 _SHORTEST_ELECTION = timedelta(milliseconds=400)
 _LONGEST_ELECTION = timedelta(milliseconds=800)
--- a/src/lovagetray/platform/_settings.py
+++ b/src/lovagetray/platform/_settings.py
@@ -32,6 +32,7 @@
 
 class _Bounds(Struct):
     grace_seconds: float = field(name="GraceS")
+    address_lifetime_seconds: float = field(name="ttl_max_s", default=5.0)
     retry_ratio: float = field(name="RetryBudgetRatio", default=0.0)
     retry_window_seconds: float = field(name="RetryWindowS", default=10.0)
     retry_slack: float = field(name="RetrySlack", default=0.0)
@@ -86,6 +87,7 @@
         losses=file.tolerance.machines,
         notice_interval=timedelta(milliseconds=file.heartbeat_ms),
         grace=timedelta(seconds=file.bounds.grace_seconds),
+        address_lifetime=timedelta(seconds=file.bounds.address_lifetime_seconds),
         extra_attempts=ExtraAttemptLimits(
             file.bounds.retry_ratio,
             int(file.bounds.retry_slack),
--- a/src/lovagetray/queries/routing/_addresses.py
+++ b/src/lovagetray/queries/routing/_addresses.py
@@ -6,9 +6,6 @@
 from lovagetray._types import Address
 from lovagetray.state import Members
 
-# A stopping instance serves until shortly before its grace period of 6 s ends, and some
-# callers keep a list for three lifetimes.
-LIST_LIFETIME = timedelta(seconds=1)
 _MOST_ADDRESSES = 64
 
 
@@ -19,7 +16,7 @@
     lifetime: timedelta
 
 
-def addresses_for(members: Members, now: timedelta) -> AddressList:
+def addresses_for(members: Members, now: timedelta, lifetime: timedelta) -> AddressList:
     """Return the addresses of all instances that accept new work."""
     serving = [record.http_address for record in members.serving(now)]
-    return AddressList(tuple(serving[:_MOST_ADDRESSES]), LIST_LIFETIME)
+    return AddressList(tuple(serving[:_MOST_ADDRESSES]), lifetime)
