Connect to IP addresses without a look-up in a thread

Cause: curio's open_connection looks every address up in a thread; a gateway under load had 67 threads and 35 MB of RssAnon.

--- a/src/lovagetray/targets/_channel.py
+++ b/src/lovagetray/targets/_channel.py
@@ -5,13 +5,15 @@
 from datetime import timedelta
 from typing import Any, Protocol
 
-from curio import CancelledError, open_connection
+from curio import CancelledError
 from expression import Error, Ok, Result
 from httptools import HttpParserError, HttpResponseParser
 
 from lovagetray._clock import Clock
 from lovagetray._routing_types import ReplicaNotice, ReplicaReply
 from lovagetray._target_errors import ConnectFailed, ConnectionLost, WrongReply
+from lovagetray._types import Address
+from lovagetray.wire import connect
 
 _RECEIVE_BYTES = 65536
 # A silent address answers no connection attempt; an answering one needs a round trip
@@ -149,10 +151,7 @@
             self._broken = True
 
     async def _connect(self) -> bool:
-        address = self.notice.address
-        connected = await self._clock.within(
-            _CONNECT_LIMIT, _open(address.host, address.port)
-        )
+        connected = await self._clock.within(_CONNECT_LIMIT, _open(self.notice.address))
         match connected:
             case Result(tag="ok", ok=Result(tag="ok", ok=socket)):
                 self._socket = socket
@@ -267,9 +266,9 @@
         self._reply = _Reply()
 
 
-async def _open(host: str, port: int) -> Result[Any, OSError]:
+async def _open(address: Address) -> Result[Any, OSError]:
     try:
-        return Ok(await open_connection(host, port))
+        return Ok(await connect(address))
     except OSError as error:
         return Error(error)
 
--- a/src/lovagetray/wire/__init__.py
+++ b/src/lovagetray/wire/__init__.py
@@ -10,6 +10,7 @@
     search_request,
 )
 from lovagetray.wire._caller_server import CallerServer, RawRequest, RawResponse
+from lovagetray.wire._connect import connect
 from lovagetray.wire._effect_json import decode_effect_request, encode_effect_answer
 from lovagetray.wire._http import HttpRequest, HttpResponse
 from lovagetray.wire._http_client import HttpConnection
--- a/src/lovagetray/wire/_http_client.py
+++ b/src/lovagetray/wire/_http_client.py
@@ -4,7 +4,6 @@
 from select import POLLIN, poll
 from typing import Any
 
-from curio import open_connection
 from expression import Error, Ok, Result
 from h11 import (
     CLIENT,
@@ -22,6 +21,7 @@
 from lovagetray._clock import Clock
 from lovagetray._errors import ConnectFailed, ConnectionLost, NoReply
 from lovagetray._types import Address
+from lovagetray.wire._connect import connect
 from lovagetray.wire._http import HttpResponse
 
 _RECEIVE_BYTES = 65536
@@ -78,9 +78,7 @@
     ) -> Result["HttpConnection", ConnectFailed]:
         """Return a new connection to `address`, or a failure after `limit`."""
         try:
-            opened = await clock.within(
-                limit, open_connection(address.host, address.port)
-            )
+            opened = await clock.within(limit, connect(address))
         except OSError:
             return Error(ConnectFailed(name))
         match opened:
