Exchanges wait for a connection; fewer connections to each replica

Ruled out: the replicas' slots, which serve four times the load. Change: half of an instance's part of the connections is usual, the rest is for peaks; an exchange waits for a connection; after a reset of a new connection others are opened 300 ms later; a request that may run once is sent when a new connection has stayed open for 15 ms. An exchange that nobody waits for any more is not sent.

--- a/features/fakes/replica_script.py
+++ b/features/fakes/replica_script.py
@@ -19,7 +19,7 @@
 from lovagetray.queries.dispatch import DispatchTools, RequestEncoder
 from lovagetray.queries.placing import ExtraBudget, Placement
 from lovagetray.state import ReplicaBook
-from lovagetray.targets import Exchange
+from lovagetray.targets import Exchange, Room
 
 _LONG = timedelta(hours=1)
 
@@ -54,6 +54,9 @@
         await spawn(self._run, exchange, daemon=True)
         return True
 
+    def room(self, notice: ReplicaNotice, now: timedelta) -> Room:
+        return Room.IDLE
+
     async def abandon(self, exchanges: Any) -> None:
         self.abandoned += list(exchanges)
 
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -65,7 +65,7 @@
     SettingsState,
     route_services,
 )
-from lovagetray.targets import Channels, ReplyDecoder
+from lovagetray.targets import Channels, ConnectionLimits, ReplyDecoder
 from lovagetray.wire import Peers
 
 _log = get_logger()
@@ -240,7 +240,7 @@
                 self._clock,
                 self._formats.decode_reply,
                 group,
-                self._connection_limit,
+                self._connection_limits,
             )
             self._channels = channels
             tools = DispatchTools(
@@ -400,14 +400,15 @@
         self._placement.forget(replica)
         return True
 
-    def _connection_limit(self, service: str) -> int:
+    def _connection_limits(self, service: str) -> ConnectionLimits:
         """Return this instance's part of a replica's connections."""
         table = self._routing.table
         spec = None if table is None else table.services.get(service)
         if spec is None:
-            return 1
+            return ConnectionLimits(1, 1)
         # One instance more than are known leaves room for a start or a restart.
-        return max(1, spec.connections // (self._instances() + 1))
+        part = spec.connections // (self._instances() + 1)
+        return ConnectionLimits(max(1, part // 2), max(1, part))
 
     def _instances(self) -> int:
         return len(self._members.sightings()) + 1
--- a/src/lovagetray/queries/dispatch/_dispatch.py
+++ b/src/lovagetray/queries/dispatch/_dispatch.py
@@ -165,12 +165,18 @@
                 self.hedges += 1
 
     async def abandon(self) -> None:
-        """End the interest in all running exchanges."""
+        """End the interest in all running exchanges; unsent ones are never sent."""
         await self._tools.channels.abandon(self._slot_of)
+        now = self._tools.clock.elapsed()
+        for exchange in [one for one in self._slot_of if one.sent_at is None]:
+            del self._slot_of[exchange]
+            self._tools.placement.ended(exchange.notice.replica, exchange, now)
 
     async def deliver(self, exchange: Exchange, outcome: Outcome) -> None:
         """Take the outcome of an exchange; called by the task of its connection."""
-        slot = self._slot_of.pop(exchange)
+        slot = self._slot_of.pop(exchange, None)
+        if slot is None:
+            return
         slot.out.remove(exchange)
         replica = exchange.notice.replica
         placement = self._tools.placement
@@ -249,7 +255,12 @@
             self._encoded, notice.replica, self._limit_at - now
         )
         exchange = Exchange(
-            notice, self._request.request_id, payload, self, self._limit_at
+            notice,
+            self._request.request_id,
+            payload,
+            self,
+            self._limit_at,
+            once=self._route.repeat is Repeat.AT_MOST_ONCE,
         )
         slot.tried.add(notice.replica)
         slot.out.append(exchange)
@@ -260,11 +271,13 @@
         DISPATCH_ATTEMPTS[kind].inc()
         if await channels.start(exchange):
             return True
-        self._slot_of.pop(exchange)
+        del self._slot_of[exchange]
         slot.out.remove(exchange)
         slot.attempts -= 1
         placement.ended(notice.replica, exchange, now)
         return await self._attempt(slot, kind)
 
     def _choose(self, slot: Slot) -> ReplicaNotice | None:
-        return self._tools.placement.choose(self._route, slot.service, slot.tried)
+        return self._tools.placement.choose(
+            self._route, slot.service, slot.tried, self._tools.channels.room
+        )
--- a/src/lovagetray/queries/placing/_choose.py
+++ b/src/lovagetray/queries/placing/_choose.py
@@ -10,6 +10,7 @@
 
 from lovagetray._routing_types import ReplicaNotice
 from lovagetray.queries.placing._records import ReplicaRecord
+from lovagetray.targets import Room
 
 # An exchange that is out for this many times the usual late answer shows a stall.
 _STALL_FACTOR = 1.5
@@ -20,6 +21,9 @@
 # of a short answer; a replica that is half as slow again is still nearer.
 _REMOTE_PENALTY = 0.5
 _NOISE = 0.1
+# A new connection takes a round trip and the replica's handshake; one beyond the usual
+# number may be reset.
+_ROOM_PENALTY = {Room.IDLE: 0.0, Room.NEW: 0.3, Room.CROWDED: 0.8, Room.FULL: 2.0}
 
 
 def choose_replica(
@@ -30,6 +34,7 @@
     data_centre: str,
     now: timedelta,
     random: Random,
+    room_of: Callable[[ReplicaNotice, timedelta], Room],
 ) -> ReplicaNotice | None:
     """Return the replica with the lowest expected latency, or None without one.
 
@@ -41,6 +46,8 @@
         Replicas that the request was sent to before; they are not chosen again.
     late
         A late answer on the route; longer silence shows a stall.
+    room_of
+        Tells how an exchange with a replica could start.
     """
     best: ReplicaNotice | None = None
     best_cost = 0.0
@@ -50,6 +57,7 @@
         record = record_of(notice.replica)
         cost = replica_cost(notice, record, late, data_centre, now)
         cost *= 1 + _NOISE * random.random()
+        cost += _ROOM_PENALTY[room_of(notice, now)]
         if best is None or cost < best_cost:
             best, best_cost = notice, cost
     return best
--- a/src/lovagetray/queries/placing/_placement.py
+++ b/src/lovagetray/queries/placing/_placement.py
@@ -1,6 +1,6 @@
 """What an instance knows of replicas, routes and budgets, for placing requests."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from datetime import timedelta
 from random import Random
 
@@ -10,6 +10,7 @@
 from lovagetray.queries.placing._extra_budget import ExtraBudget
 from lovagetray.queries.placing._records import ReplicaRecord, RouteRecord
 from lovagetray.state import ReplicaBook
+from lovagetray.targets import Room
 
 # The share of answers that come before a second attempt is considered.
 _HEDGE_QUANTILE = 0.88
@@ -72,7 +73,11 @@
         return max(late, _SHORTEST_HEDGE)
 
     def choose(
-        self, route: Route, service: str, tried: Collection[str]
+        self,
+        route: Route,
+        service: str,
+        tried: Collection[str],
+        room_of: Callable[[ReplicaNotice, timedelta], Room],
     ) -> ReplicaNotice | None:
         """Return the replica that a request should go to next, or None."""
         now = self._clock.elapsed()
@@ -84,6 +89,7 @@
             self._data_centre,
             now,
             self._random,
+            room_of,
         )
 
     def reachable(self, services: Iterable[str]) -> int:
--- a/src/lovagetray/targets/__init__.py
+++ b/src/lovagetray/targets/__init__.py
@@ -8,7 +8,7 @@
     Outcome,
     ReplyDecoder,
 )
-from lovagetray.targets._channels import Channels
+from lovagetray.targets._channels import Channels, ConnectionLimits, Room
 from lovagetray.targets._connection import Silent, TargetConnection, TargetDialer
 from lovagetray.targets._http_dialer import HttpDialer
 from lovagetray.targets._pool import ReplicaPool
--- a/src/lovagetray/targets/_channel.py
+++ b/src/lovagetray/targets/_channel.py
@@ -19,6 +19,9 @@
 # A silent address answers no connection attempt; an answering one needs a round trip
 # and the replica's handshake, 10 ms on the deployments of today.
 _CONNECT_LIMIT = timedelta(milliseconds=400)
+# A replica resets connections beyond its limit at once; a request that must not run
+# twice is sent when that time has passed.
+_RESET_WAIT = timedelta(milliseconds=15)
 # No deployment sends parts above 32 KiB; a larger reply is a faulty replica.
 _LARGEST_REPLY = 4 * 1024 * 1024
 
@@ -46,6 +49,8 @@
         The encoded request.
     limit_at
         When the replica stops to work on it, on the monotonic clock.
+    once
+        Whether it must not be sent a second time if its connection breaks.
     sent_at
         When it was handed to a connection; None until then.
     abandoned_at
@@ -57,6 +62,7 @@
     payload: bytes
     waiter: Waiter
     limit_at: timedelta
+    once: bool = False
     sent_at: timedelta | None = None
     abandoned_at: timedelta | None = None
 
@@ -80,9 +86,9 @@
     Parameters
     ----------
     released
-        Called when the channel can take another exchange.
+        Called when the channel can take another exchange; returns one that waits.
     closed
-        Called when the channel has ended.
+        Called when the channel has ended, with whether it ever got a response.
     """
 
     def __init__(
@@ -90,8 +96,8 @@
         notice: ReplicaNotice,
         clock: Clock,
         decode: ReplyDecoder,
-        released: Callable[["Channel"], None],
-        closed: Callable[["Channel"], None],
+        released: Callable[["Channel"], Exchange | None],
+        closed: Callable[["Channel", bool], None],
     ) -> None:
         self._clock = clock
         self._decode = decode
@@ -104,7 +110,7 @@
         self._finished: list[_Reply] = []
         self._sending = False
         self._broken = False
-        self._reused = False
+        self._proven = False
         self.notice = notice
         self.task: Any = None
         self.idle_since = clock.elapsed()
@@ -124,51 +130,61 @@
         """Connect, send the first exchange, and read until the connection ends."""
         self._exchange = first
         try:
-            if not await self._connect():
+            if not await self._connect(first):
                 await self._fail(ConnectFailed(self.notice.replica))
                 return
             async with self._socket:
+                if first is None or first.abandoned_at is not None:
+                    self._exchange = None
+                    first = self._released(self)
                 if first is not None:
-                    await self._transmit(first)
-                else:
-                    self._released(self)
+                    await self.send(first)
                 await self._read()
         except CancelledError:
-            await self._fail(ConnectionLost(self.notice.replica))
+            await self._fail(self._loss())
             raise
         finally:
             self._broken = True
-            self._closed(self)
+            self._closed(self, self._proven)
 
     async def send(self, exchange: Exchange) -> None:
         """Send an exchange on an idle channel; its waiter gets the outcome."""
         self._exchange = exchange
-        self._reused = True
+        exchange.sent_at = self._clock.elapsed()
+        self._sending = True
         try:
-            await self._transmit(exchange)
+            await self._socket.sendall(exchange.payload)
+            self._sending = False
         except OSError:
             # The reading task sees the end of the connection and reports it.
-            self._broken = True
+            pass
+        finally:
+            # A request that was cut off leaves the connection unusable.
+            self._broken = self._broken or self._sending
 
-    async def _connect(self) -> bool:
+    async def _connect(self, first: Exchange | None) -> bool:
         connected = await self._clock.within(_CONNECT_LIMIT, _open(self.notice.address))
         match connected:
             case Result(tag="ok", ok=Result(tag="ok", ok=socket)):
                 self._socket = socket
                 self._new_reply()
+            case _:
+                return False
+        if first is None or not first.once:
+            return True
+        return await self._stays_open()
+
+    async def _stays_open(self) -> bool:
+        """Tell whether the replica keeps a new connection."""
+        try:
+            early = await self._clock.within(_RESET_WAIT, self._socket.recv(1))
+        except OSError:
+            return False
+        match early:
+            case Result(tag="error"):
                 return True
         return False
 
-    async def _transmit(self, exchange: Exchange) -> None:
-        exchange.sent_at = self._clock.elapsed()
-        self._sending = True
-        try:
-            await self._socket.sendall(exchange.payload)
-            self._sending = False
-        finally:
-            # A request that was cut off leaves the connection unusable.
-            self._broken = self._broken or self._sending
-
     async def _read(self) -> None:
         while not self._broken:
             try:
@@ -183,11 +199,13 @@
             except HttpParserError:
                 self._broken = True
             await self._deliver_finished()
-        await self._fail(ConnectionLost(self.notice.replica))
+        await self._fail(self._loss())
 
     async def _deliver_finished(self) -> None:
-        finished, self._finished = self._finished, []
-        for reply in finished:
+        while self._finished:
+            reply = self._finished.pop(0)
+            # More than one response at a time: the others belong to no request.
+            self._broken = self._broken or bool(self._finished)
             await self._take(reply)
         if self._reply.size > _LARGEST_REPLY:
             self._broken = True
@@ -204,15 +222,15 @@
             # A second response to an earlier request; the awaited one may follow.
             return
         self._exchange = None
-        if self._sending:
-            # The rest of the request would be read as the next one.
-            self._broken = True
-        if self._broken or self._finished:
-            self._broken = True
-        else:
-            self.idle_since = self._clock.elapsed()
-            self._released(self)
+        self._proven = True
+        # The rest of a request that is still being sent would be read as the next one.
+        self._broken = self._broken or self._sending
         await exchange.waiter.deliver(exchange, reply)
+        if not self._broken:
+            self.idle_since = self._clock.elapsed()
+            waiting = self._released(self)
+            if waiting is not None:
+                await self.send(waiting)
 
     async def _ended(self, clean: bool) -> None:
         reply = self._reply
@@ -220,7 +238,7 @@
         if clean and reply.head_complete and not reply.framed and self._exchange:
             # A response without a length ends with its connection.
             await self._take(reply)
-        await self._fail(ConnectionLost(self.notice.replica))
+        await self._fail(self._loss())
 
     async def _fail(self, failure: ChannelFailure) -> None:
         exchange, self._exchange = self._exchange, None
@@ -228,6 +246,13 @@
         if exchange is not None:
             await exchange.waiter.deliver(exchange, failure)
 
+    def _loss(self) -> ConnectFailed | ConnectionLost:
+        """Return what the end of the connection means for the running exchange."""
+        exchange = self._exchange
+        if exchange is not None and exchange.sent_at is None:
+            return ConnectFailed(self.notice.replica)
+        return ConnectionLost(self.notice.replica)
+
     def _new_reply(self) -> None:
         self._reply = _Reply()
         self._parser = HttpResponseParser(self)
--- a/src/lovagetray/targets/_channels.py
+++ b/src/lovagetray/targets/_channels.py
@@ -1,7 +1,10 @@
 """The connections of one instance to all replicas."""
 
+from collections import deque
 from collections.abc import Callable, Iterable
 from datetime import timedelta
+from enum import Enum
+from typing import NamedTuple
 
 from curio import TaskGroup
 
@@ -9,6 +12,10 @@
 from lovagetray._routing_types import ReplicaNotice
 from lovagetray.targets._channel import Channel, Exchange, ReplyDecoder
 
+# Exchanges that wait for a connection of one replica; more would not end in time.
+_MOST_WAITING = 20
+# After a replica closed a new connection, others are opened only after this pause.
+_FULL_PAUSE = timedelta(milliseconds=300)
 _SWEEP = timedelta(milliseconds=100)
 # The rules allow half a second between a caller's leaving and the end of its work;
 # most exchanges end by themselves before that, which keeps their connection.
@@ -21,13 +28,40 @@
 _IDLE_SHARE = 0.8
 
 
+class Room(Enum):
+    """How a replica can take one more exchange from this instance."""
+
+    IDLE = "an open connection is idle"
+    NEW = "a connection can be opened"
+    CROWDED = "a connection can be opened beyond the usual number"
+    FULL = "the exchange has to wait for a connection"
+
+
+class ConnectionLimits(NamedTuple):
+    """How many connections an instance holds to one replica.
+
+    Parameters
+    ----------
+    usual
+        Opened without hesitation; twice as many fit, so that the connections of
+        instances that died unseen leave room for those of their successors.
+    most
+        Never exceeded.
+    """
+
+    usual: int
+    most: int
+
+
 class ReplicaChannels:
-    """The open connections to one replica."""
+    """The open connections to one replica, and the exchanges that wait for one."""
 
     def __init__(self, notice: ReplicaNotice) -> None:
         self.notice = notice
         self.open: list[Channel] = []
         self.idle: list[Channel] = []
+        self.waiting: deque[Exchange] = deque()
+        self.full_until = timedelta(0)
 
     def take_idle(self) -> Channel | None:
         """Return the idle channel that was used last, or None."""
@@ -37,6 +71,14 @@
                 return channel
         return None
 
+    def next_waiting(self, now: timedelta) -> Exchange | None:
+        """Return the first exchange that is still wanted."""
+        while self.waiting:
+            exchange = self.waiting.popleft()
+            if exchange.abandoned_at is None and exchange.limit_at > now:
+                return exchange
+        return None
+
 
 class Channels:
     """Opens, reuses and closes connections to replicas.
@@ -45,8 +87,8 @@
     ----------
     group
         Runs one task for each connection.
-    limit
-        Returns how many connections this instance may hold to one replica.
+    limits
+        Returns how many connections this instance holds to a replica of a service.
     """
 
     def __init__(
@@ -54,12 +96,12 @@
         clock: Clock,
         decode: ReplyDecoder,
         group: TaskGroup,
-        limit: Callable[[str], int],
+        limits: Callable[[str], ConnectionLimits],
     ) -> None:
         self._clock = clock
         self._decode = decode
         self._group = group
-        self._limit = limit
+        self._limits = limits
         self._replicas: dict[str, ReplicaChannels] = {}
         self._opened = 0
 
@@ -73,14 +115,17 @@
         """The connections that were opened since the start."""
         return self._opened
 
-    def has_room(self, notice: ReplicaNotice) -> bool:
-        """Tell whether an exchange with a replica could start now."""
+    def room(self, notice: ReplicaNotice, now: timedelta) -> Room:
+        """Return how an exchange with a replica could start now."""
         replica = self._replicas.get(notice.replica)
         if replica is None:
-            return True
-        if any(channel.usable for channel in replica.idle):
-            return True
-        return len(replica.open) < self._limit(notice.service)
+            return Room.NEW
+        if replica.idle:
+            return Room.IDLE
+        limits = self._limits(notice.service)
+        if now < replica.full_until or len(replica.open) >= limits.most:
+            return Room.FULL if replica.open else Room.CROWDED
+        return Room.NEW if len(replica.open) < limits.usual else Room.CROWDED
 
     def knows(self, notice: ReplicaNotice) -> bool:
         """Tell whether a connection to a replica is open."""
@@ -88,15 +133,26 @@
         return replica is not None and bool(replica.open)
 
     async def start(self, exchange: Exchange) -> bool:
-        """Send an exchange on an idle or a new connection; False without room."""
+        """Send an exchange on an idle or a new connection, or let it wait for one.
+
+        Returns
+        -------
+        bool
+            False if too many wait already.
+        """
         replica = self._of(exchange.notice)
         channel = replica.take_idle()
         if channel is not None:
             await channel.send(exchange)
             return True
-        if len(replica.open) >= self._limit(exchange.notice.service):
+        limits = self._limits(exchange.notice.service)
+        may_open = self._clock.elapsed() >= replica.full_until or not replica.open
+        if may_open and len(replica.open) < limits.most:
+            await self._open(replica, exchange)
+            return True
+        if len(replica.waiting) >= _MOST_WAITING:
             return False
-        await self._open(replica, exchange)
+        replica.waiting.append(exchange)
         return True
 
     async def connect(self, notice: ReplicaNotice) -> None:
@@ -116,6 +172,8 @@
             now = self._clock.elapsed()
             for name, replica in list(self._replicas.items()):
                 gone = ended(name)
+                if replica.waiting and not replica.open:
+                    await self._start_waiting(replica, now)
                 for channel in list(replica.open):
                     if self._overdue(channel, now, gone):
                         await channel.task.cancel(blocking=False)
@@ -128,6 +186,12 @@
         for exchange in exchanges:
             exchange.abandoned_at = now
 
+    async def _start_waiting(self, replica: ReplicaChannels, now: timedelta) -> None:
+        """Open a connection for an exchange whose awaited connection has ended."""
+        exchange = replica.next_waiting(now)
+        if exchange is not None:
+            await self._open(replica, exchange)
+
     def _of(self, notice: ReplicaNotice) -> ReplicaChannels:
         replica = self._replicas.get(notice.replica)
         if replica is None or replica.notice.address != notice.address:
@@ -136,14 +200,21 @@
         return replica
 
     async def _open(self, replica: ReplicaChannels, first: Exchange | None) -> None:
-        def closed(channel: Channel) -> None:
+        def released(channel: Channel) -> Exchange | None:
+            waiting = replica.next_waiting(self._clock.elapsed())
+            if waiting is None:
+                replica.idle.append(channel)
+            return waiting
+
+        def closed(channel: Channel, proven: bool) -> None:
             replica.open.remove(channel)
             if channel in replica.idle:
                 replica.idle.remove(channel)
+            if not proven:
+                # The replica is over its limit, or cannot be reached at all.
+                replica.full_until = self._clock.elapsed() + _FULL_PAUSE
 
-        channel = Channel(
-            replica.notice, self._clock, self._decode, replica.idle.append, closed
-        )
+        channel = Channel(replica.notice, self._clock, self._decode, released, closed)
         replica.open.append(channel)
         self._opened += 1
         channel.task = await self._group.spawn(channel.run, first)
