Prove a start by the leader's confirmed commit index, not by an entry

Cause: after the loss of power each start proposed an entry of its own and some waited 0.75 s for a lost reply; first heartbeats were lost before connections stood. Change: an instance is up to date once it has applied what a leader, confirmed by a majority after this start, had committed in its own term. Unheard peers get heartbeats each 100 ms.

--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -38,6 +38,7 @@
       | a commit of an entry of an older term by counting | EntryChanged or differ       |
       | a lease that outlasts its time                    | read index                   |
       | a lease that is confirmed without a majority      | holds a lease                |
+      | a start that trusts any leader                    | claims index                 |
 
   Scenario: A torn tail of the log is cut off
     Guards against a crash during a write that makes the instance unusable.
--- a/features/fakes/agreement_broken.py
+++ b/features/fakes/agreement_broken.py
@@ -67,6 +67,13 @@
         return beat._replace(confirmed=stamps[-1][1] if stamps else None)
 
 
+class TrustsAnyLeader(Replica):
+    """Takes the first commit index that it hears for all that was accepted."""
+
+    def holds_accepted(self) -> bool:
+        return self.leader is not None and self.applied_index == self.commit_index
+
+
 _ONE_ENTRY = Parts().settings._replace(batch_bytes=1, snapshot_every=1000)
 BROKEN = {
     "a vote that is not synced": (
@@ -85,6 +92,10 @@
         Plan(("cut_leader", "heal", "noise"), pause=3.0),
         Parts(replica_type=OverlongLease),
     ),
+    "a start that trusts any leader": (
+        Plan(("crash", "crash", "cut_leader", "heal"), pause=0.8),
+        Parts(replica_type=TrustsAnyLeader),
+    ),
     "a lease that is confirmed without a majority": (
         Plan(("split", "split", "heal"), pause=4.0, voters=(5,), learners=(0,)),
         Parts(replica_type=ConfirmsAlone),
--- a/features/fakes/agreement_cluster.py
+++ b/features/fakes/agreement_cluster.py
@@ -55,6 +55,8 @@
         self.store = cluster.parts.store_type(self.host.random)
         self.violations = Violations()
         self.agreement: Agreement | None = None
+        # The highest index that was applied anywhere when this process started.
+        self.accepted_before = 0
         self.session: Session | None = None
         self.damaged = self.damage_found = False
         self._cluster = cluster
@@ -87,6 +89,7 @@
 
     async def start(self) -> None:
         """Start the process."""
+        self.accepted_before = self._cluster.model.highest
         self.session = Session(self.host, self.stop)
         self._task = await spawn(self._live, self.session, daemon=True)
 
@@ -271,6 +274,11 @@
                 if agreement.reads_current():
                     self.counts["reads"] += 1
                     self.model.read(instance.name, agreement.applied_index)
+                if agreement.holds_accepted():
+                    self.counts["starts proved"] += 1
+                    self.model.started(
+                        instance.name, agreement.applied_index, instance.accepted_before
+                    )
                 if agreement.leader == instance.name:
                     self.model.listed(agreement.term, agreement.live)
                 if agreement.lease_valid():
--- a/features/fakes/agreement_model.py
+++ b/features/fakes/agreement_model.py
@@ -71,6 +71,11 @@
         if index < self.highest:
             self.report(f"{name} read index {index} after {self.highest} was applied")
 
+    def started(self, name: str, index: int, before: int) -> None:
+        """Check that an instance that claims it holds all changes from before does."""
+        if index < before:
+            self.report(f"{name} claims index {before} and has applied {index}")
+
     def leased(self, name: str) -> None:
         """Check that a lease ends in time after the newest leader stopped listing it.
 
--- a/src/lovagetray/commands/agreement/_agreement.py
+++ b/src/lovagetray/commands/agreement/_agreement.py
@@ -141,6 +141,10 @@
         """Tell whether this instance leads and its state holds all accepted changes."""
         return self._replica.reads_current()
 
+    def holds_accepted(self) -> bool:
+        """Tell whether all that was accepted before this start is applied here."""
+        return self._replica.holds_accepted()
+
     async def propose(self, proposal: Proposal) -> Result[bytes, Failure]:
         """Return the outcome of a change once it is committed and applied here or at
         the leader, or why there is none; `proves_not_run` tells whether it may still
--- a/src/lovagetray/commands/agreement/_replica.py
+++ b/src/lovagetray/commands/agreement/_replica.py
@@ -30,6 +30,13 @@
 _LONG_AGO = timedelta(days=-1)
 
 
+class CommitProof(NamedTuple):
+    """What a leader had committed when a majority confirmed it after this start."""
+
+    term: int
+    commit: int
+
+
 class Surroundings(NamedTuple):
     """What one instance's replicated log works with.
 
@@ -72,6 +79,7 @@
         self._live: tuple[str, ...] = ()
         self._lease_start: timedelta | None = None
         self._newest_beat = (0, timedelta.min)
+        self._proof: CommitProof | None = None
         self._signals: dict[str, Event] = {}
         # Nobody votes just after a start, as it may have heard a leader just before.
         self._heard_at = surroundings.clock.elapsed()
@@ -210,6 +218,8 @@
         if confirmed is not None and confirmed.run == self._run:
             start = self._lease_start
             self._lease_start = max(confirmed.at, start or confirmed.at)
+            if not self._proof_holds():
+                self._proof = CommitProof(beat.term, beat.commit)
 
     def leader_beat(self, leading: Leading, peer: str) -> LeaderBeat:
         """Return what a message to a peer carries.
@@ -323,6 +333,29 @@
                 )
         return False
 
+    def holds_accepted(self) -> bool:
+        """Tell whether all that was accepted before this start is applied here.
+
+        A majority confirmed the leader after this start, so it led alone; and it had
+        committed an entry of its own term, so its commit index covered all terms.
+        """
+        match self._role:
+            case Leading():
+                return self.reads_current()
+        return self._proof_holds() and self._proof_is_applied()
+
+    def _proof_holds(self) -> bool:
+        """Tell whether the proof's leader had committed an entry of its own term."""
+        proof = self._proof
+        if proof is None or proof.commit > self.log.last_index:
+            return proof is not None
+        # A snapshot that covers the index was taken later, at a term no lower.
+        index = max(proof.commit, self.log.base_index)
+        return self.log.term_at(index) >= proof.term
+
+    def _proof_is_applied(self) -> bool:
+        return self._proof is not None and self._applied_index >= self._proof.commit
+
     @property
     def read_lease(self) -> timedelta:
         """How long nobody can be elected after a majority answered a leader."""
--- a/src/lovagetray/entry/_instance.py
+++ b/src/lovagetray/entry/_instance.py
@@ -118,10 +118,7 @@
         """Serve once the settings are current, so that no older ones come in force."""
         has_disk = self._settings.data_folder is not None
         limit = _CONFIRM_LIMIT if has_disk else None
-        instance = self._members.myself.instance
-        current = await wait_until_current(
-            self._agreement, instance, self._clock, limit
-        )
+        current = await wait_until_current(self._agreement, self._clock, limit)
         await wait_for_lease(self._agreement, self._clock, _CONFIRM_LIMIT)
         if self._members.myself.state is InstanceState.STARTING:
             self._members.change_own_state(InstanceState.SERVING)
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -270,10 +270,7 @@
         instance at once.
         """
         limit = None if self._settings.data_folder is None else _CONFIRM_LIMIT
-        instance = self._members.myself.instance
-        current = await wait_until_current(
-            self._agreement, instance, self._clock, limit
-        )
+        current = await wait_until_current(self._agreement, self._clock, limit)
         while self._routing.table is None:
             await self._clock.sleep(_STOP_POLL)
         if self._members.myself.state is InstanceState.STARTING:
--- a/src/lovagetray/replicated/_log.py
+++ b/src/lovagetray/replicated/_log.py
@@ -9,9 +9,7 @@
 from structlog import get_logger
 
 from lovagetray._clock import Clock
-from lovagetray._log_entries import Proposal
 from lovagetray._process_settings import ProcessSettings
-from lovagetray._types import InstanceId
 from lovagetray._violations import Violations
 from lovagetray.commands.agreement import (
     Agreement,
@@ -21,10 +19,11 @@
     StateMachine,
     Surroundings,
 )
-from lovagetray.replicated._state import Part, PartProposer
 
 _log = get_logger()
 _RETRY = timedelta(milliseconds=200)
+# A start waits for it, and callers wait for the start.
+_POLL = timedelta(milliseconds=20)
 
 
 class LogOwner(NamedTuple):
@@ -101,13 +100,10 @@
 
 
 async def wait_until_current(
-    agreement: Agreement, instance: InstanceId, clock: Clock, limit: timedelta | None
+    agreement: Agreement, clock: Clock, limit: timedelta | None
 ) -> bool:
     """Wait until this instance has applied everything that was accepted before now.
 
-    An entry of the log that changes nothing is the proof: once it is applied here, so
-    is every change that was accepted before the instance started.
-
     Parameters
     ----------
     limit
@@ -118,18 +114,12 @@
     bool
         False if the limit has passed.
     """
-    barrier = PartProposer(agreement, Part.BARRIER)
     started = clock.elapsed()
-    request_id = f"barrier:{instance.name}:{instance.incarnation}"
-    while limit is None or clock.elapsed() - started < limit:
-        proposal = Proposal(request_id, clock.now(), b"")
-        match await barrier.propose(proposal):
-            case Result(tag="ok", ok=outcome) if agreement.applied_index >= int(
-                outcome
-            ):
-                return True
-        await clock.sleep(_RETRY)
-    return False
+    while not agreement.holds_accepted():
+        if limit is not None and clock.elapsed() - started >= limit:
+            return False
+        await clock.sleep(_POLL)
+    return True
 
 
 async def wait_for_lease(agreement: Agreement, clock: Clock, limit: timedelta) -> bool:
--- a/src/lovagetray/replicated/_state.py
+++ b/src/lovagetray/replicated/_state.py
@@ -35,7 +35,7 @@
     SETTINGS = b"S"
     LEDGER = b"L"
     ROUTING = b"R"
-    # Changes nothing; its outcome is the index of the entry.
+    # Changes nothing; logs of earlier versions hold such entries.
     BARRIER = b"B"
 
 
--- a/src/lovagetray/wire/_peers.py
+++ b/src/lovagetray/wire/_peers.py
@@ -43,6 +43,7 @@
 )
 _HIGH_WATER_MESSAGES = 10_000
 HEARTBEAT = timedelta(milliseconds=500)
+_FIRST_PAUSE = timedelta(milliseconds=100)
 
 MessageHandler = Callable[[Envelope], Awaitable[None]]
 
@@ -139,7 +140,10 @@
         socket = self._connect(address)
         connected_at = self._clock.elapsed()
         while True:
-            taken = await self._clock.within(self._interval, outbox.get())
+            # The first messages to a peer are lost if it is not connected yet.
+            unheard = self._silence(name) > self._suspicion
+            pause = min(self._interval, _FIRST_PAUSE) if unheard else self._interval
+            taken = await self._clock.within(pause, outbox.get())
             match taken:
                 case Result(tag="ok", ok=first):
                     messages = await _take_waiting(first, outbox)
