One bounded log line for each request; metrics of the gateway; earlier hedges

Cause: of a failed request only the count of missing shards was logged; a reader that falls behind could stop the process; the first hedges of a process came after 40% of the target latency. Change: logs go to standard output through a stream that never waits, drops and counts beyond 300 lines a second; each request ends with one line that names what was tried; histograms by outcome on /metrics of the control address; the first guess of a late answer is a fifth of the target; second attempts after the 85th percentile, 15% of their budget kept for failed first attempts.

--- /dev/null
+++ b/src/lovagetray/_log_stream.py
@@ -0,0 +1,78 @@
+"""Standard output for logs: bounded in volume, and never waited for."""
+
+from collections.abc import Callable
+from os import set_blocking, write
+from time import monotonic
+
+from prometheus_client import Counter
+
+_dropped_total = Counter(
+    "lovagetray_log_lines_dropped_total",
+    "Log lines that were not written, by reason: too many, or the reader is behind",
+    ["reason"],
+)
+# A gateway ends some 30 requests a second, with a line each; bursts of decisions about
+# replicas and peers come on top.
+_LINES_EACH_SECOND = 300
+_BURST_LINES = 1500
+
+
+class LogStream:
+    """Writes whole lines to a descriptor; drops and counts what does not fit.
+
+    Parameters
+    ----------
+    clock
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, descriptor: int, clock: Callable[[], float] = monotonic) -> None:
+        self._descriptor = descriptor
+        self._clock = clock
+        self._allowed = float(_BURST_LINES)
+        self._counted_at = clock()
+        self._rest = b""
+        self._dropped = 0
+        set_blocking(descriptor, False)
+
+    @property
+    def dropped(self) -> int:
+        """The lines that were not written since the start."""
+        return self._dropped
+
+    def write(self, text: str) -> None:
+        """Write a line, with or without its end."""
+        if text == "\n":
+            return
+        now = self._clock()
+        grown = self._allowed + (now - self._counted_at) * _LINES_EACH_SECOND
+        self._allowed = min(float(_BURST_LINES), grown)
+        self._counted_at = now
+        if self._allowed < 1:
+            self._drop("volume")
+            return
+        self._allowed -= 1
+        self._send(text.rstrip("\n").encode() + b"\n")
+
+    def flush(self) -> None:
+        """Lines are written at once."""
+
+    def _send(self, line: bytes) -> None:
+        data = self._rest + line
+        try:
+            sent = write(self._descriptor, data)
+        except BlockingIOError:
+            sent = 0
+        if sent < len(self._rest):
+            # The line in front is not complete yet; this one would follow its middle.
+            self._rest = self._rest[sent:]
+            self._drop("reader")
+        elif sent == len(self._rest):
+            self._rest = b""
+            self._drop("reader")
+        else:
+            self._rest = data[sent:]
+
+    def _drop(self, reason: str) -> None:
+        self._dropped += 1
+        _dropped_total.labels(reason).inc()
--- a/src/lovagetray/_telemetry.py
+++ b/src/lovagetray/_telemetry.py
@@ -2,13 +2,15 @@
 
 from logging import CRITICAL, INFO, getLogger
 from sys import stderr
-from typing import TextIO
+from typing import Any, Protocol, TextIO, cast
 
+from msgspec.json import Encoder
 from prometheus_client import Counter, Gauge, Histogram
 from structlog import PrintLoggerFactory, configure, make_filtering_bound_logger
 from structlog.contextvars import merge_contextvars
 from structlog.processors import JSONRenderer, TimeStamper, add_log_level
 
+_encoder = Encoder(enc_hook=str)
 SEARCH_SECONDS = Histogram(
     "lovagetray_search_seconds",
     "Time from reading a search to its answer",
@@ -137,7 +139,38 @@
 }
 
 
-def configure_logging(level: int = INFO, stream: TextIO = stderr) -> None:
+GATEWAY_SECONDS = Histogram(
+    "lovagetray_gateway_request_seconds",
+    "Time from reading a caller's request to its answer, by outcome",
+    ["outcome"],
+    buckets=(0.005, 0.01, 0.02, 0.035, 0.05, 0.1, 0.25, 0.5, 0.8, 2, 8),
+)
+GATEWAY_PARTS = Counter(
+    "lovagetray_gateway_shards_total",
+    "Shards of answered queries, included or missing",
+    ["part"],
+)
+ROUTING_VERSION = Gauge(
+    "lovagetray_routing_version",
+    "Version of the routing document in force at this instance",
+)
+REPLICA_CHANNELS = Gauge(
+    "lovagetray_replica_channels",
+    "Connections to replicas that are open",
+)
+
+
+class LineStream(Protocol):
+    """Where log lines go."""
+
+    def write(self, text: str) -> object:
+        """Write a line."""
+
+    def flush(self) -> None:
+        """Hand over what was written."""
+
+
+def configure_logging(level: int = INFO, stream: LineStream = stderr) -> None:
     """Write log events of a level and above as JSON lines to a stream."""
     # curio warns in plain text about work that ends just after its time limit.
     getLogger("curio").setLevel(CRITICAL)
@@ -147,8 +180,12 @@
             merge_contextvars,
             add_log_level,
             TimeStamper(fmt="iso", utc=True, key="time"),
-            JSONRenderer(),
+            JSONRenderer(serializer=_encode_line),
         ],
-        logger_factory=PrintLoggerFactory(stream),
+        logger_factory=PrintLoggerFactory(cast(TextIO, stream)),
         cache_logger_on_first_use=True,
     )
+
+
+def _encode_line(event: Any, **_: Any) -> str:
+    return _encoder.encode(event).decode()
--- a/src/lovagetray/commands/forwarding/_forward.py
+++ b/src/lovagetray/commands/forwarding/_forward.py
@@ -45,19 +45,28 @@
     slot = dispatch.slots[0]
     took = clock.elapsed() - began_at
     result = _result(slot, dispatch, limit)
-    match result:
-        case Result(tag="error", error=failure):
-            _log.info(
-                "request_without_answer",
-                request_id=request.request_id,
-                route=route.name,
-                code=failure.code,
-                tried=sorted(slot.tried),
-                took_ms=round(took.total_seconds() * 1000, 1),
-            )
+    _log.info(
+        "request_ended",
+        request_id=request.request_id,
+        route=route.name,
+        outcome=_outcome(result),
+        tried=sorted(slot.tried),
+        last_failure=slot.last_failure,
+        hedges=dispatch.hedges,
+        retries=dispatch.retries,
+        took_ms=round(took.total_seconds() * 1000, 1),
+    )
     return result
 
 
+def _outcome(result: Result[ReplicaReply, ForwardFailure]) -> str:
+    match result:
+        case Result(tag="ok", ok=reply):
+            return f"status {reply.status}"
+        case Result(error=failure):
+            return failure.code
+
+
 async def _collect(
     dispatch: Dispatch, tools: DispatchTools, route: Route, limit_at: timedelta
 ) -> None:
--- a/src/lovagetray/gateway/_dispatcher.py
+++ b/src/lovagetray/gateway/_dispatcher.py
@@ -1,6 +1,9 @@
 """Hands a caller's request to the command or query of its route."""
 
+from typing import get_args
+
 from expression import Error, Result
+from structlog import get_logger
 
 from lovagetray._routing_errors import ForwardFailure, NoRoute, NotStarted
 from lovagetray._routing_types import (
@@ -10,11 +13,23 @@
     ReplicaReply,
     SplitServices,
 )
+from lovagetray._telemetry import GATEWAY_PARTS, GATEWAY_SECONDS
 from lovagetray.commands.forwarding import SplitCounter, forward
 from lovagetray.queries.dispatch import DispatchTools
 from lovagetray.queries.gathering import GatheredAnswer, gather
 from lovagetray.state import RoutingState
 
+_log = get_logger()
+# The children are kept, because looking one up costs more than observing.
+_OUTCOMES = {
+    outcome: GATEWAY_SECONDS.labels(outcome)
+    for outcome in (
+        "answered",
+        "partial",
+        *(failure.code for failure in get_args(ForwardFailure)),
+    )
+}
+
 
 class Dispatcher:
     """Answers requests by the routing document in force when they arrive."""
@@ -28,6 +43,30 @@
         self, request: CallerRequest
     ) -> Result[ReplicaReply | GatheredAnswer, ForwardFailure]:
         """Return the response to a request, or why there is none."""
+        began_at = self._tools.clock.elapsed()
+        result = await self._answer(request)
+        took = (self._tools.clock.elapsed() - began_at).total_seconds()
+        match result:
+            case Result(tag="ok", ok=GatheredAnswer(signatures=parts, missing=missing)):
+                _OUTCOMES["answered" if not missing else "partial"].observe(took)
+                GATEWAY_PARTS.labels("included").inc(len(parts))
+                GATEWAY_PARTS.labels("missing").inc(missing)
+            case Result(tag="ok"):
+                _OUTCOMES["answered"].observe(took)
+            case Result(error=failure):
+                _OUTCOMES[failure.code].observe(took)
+                _log.info(
+                    "request_refused",
+                    request_id=request.request_id,
+                    code=failure.code,
+                    reason=str(failure),
+                    version=self._routing.version,
+                )
+        return result
+
+    async def _answer(
+        self, request: CallerRequest
+    ) -> Result[ReplicaReply | GatheredAnswer, ForwardFailure]:
         table = self._routing.table
         if table is None:
             return Error(NotStarted())
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -8,6 +8,7 @@
 
 from curio import TaskGroup
 from expression import Result
+from prometheus_client import generate_latest
 from structlog import get_logger
 
 from lovagetray._clock import Clock
@@ -38,6 +39,12 @@
     RoutingDocument,
 )
 from lovagetray._signals import SignalListener
+from lovagetray._telemetry import (
+    AGREEMENT_LEADS,
+    AGREEMENT_TERM,
+    REPLICA_CHANNELS,
+    ROUTING_VERSION,
+)
 from lovagetray._types import Address, InstanceId
 from lovagetray._violations import Violations
 from lovagetray.commands.announcing import Announcing
@@ -214,6 +221,15 @@
         lifetime = min(self._settings.address_lifetime, lasting)
         return addresses_for(self._members, now, lifetime)
 
+    def metrics(self) -> bytes:
+        """Return counters and histograms as text."""
+        ROUTING_VERSION.set(self._routing.version)
+        REPLICA_CHANNELS.set(self._channels.open_count)
+        AGREEMENT_TERM.set(self._agreement.term)
+        AGREEMENT_LEADS.set(self._agreement.leader == self._settings.name)
+        text: bytes = generate_latest()
+        return text
+
     async def run(
         self,
         servers: Callable[["Gateway"], tuple[FrontServer, list[CallServer]]],
--- a/src/lovagetray/platform/_control_calls.py
+++ b/src/lovagetray/platform/_control_calls.py
@@ -4,6 +4,7 @@
 
 from expression import Result
 from msgspec.json import encode
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
 from structlog import get_logger
 
 from lovagetray._errors import MalformedRequest, RequestTooLarge, RequestTooSlow
@@ -35,6 +36,9 @@
         match request.method, request.path:
             case "GET", "/-/readiness":
                 return _empty(200 if self._gateway.ready else 503)
+            case "GET", "/metrics":
+                headers = {"content-type": CONTENT_TYPE_LATEST}
+                return HttpResponse(200, headers, self._gateway.metrics())
             case "GET", "/-/resolve":
                 return self._resolve()
             case "POST", "/-/config/put":
--- a/src/lovagetray/platform/_run.py
+++ b/src/lovagetray/platform/_run.py
@@ -10,6 +10,7 @@
 
 from lovagetray._clock import SystemClock
 from lovagetray._gateway_settings import GatewaySettings
+from lovagetray._log_stream import LogStream
 from lovagetray._telemetry import configure_logging
 from lovagetray._types import Address
 from lovagetray.gateway import CallServer, FrontServer, Gateway, GatewayFormats
@@ -33,7 +34,7 @@
 def run_gateway() -> int:
     """Run a gateway with the settings file of the environment; return the exit code."""
     path = Path(environ.get(SETTINGS_VARIABLE, "/etc/lovagetray/settings.toml"))
-    configure_logging(stream=stdout)
+    configure_logging(stream=LogStream(stdout.fileno()))
     match read_settings(path):
         case Result(tag="ok", ok=settings):
             pass
--- a/src/lovagetray/queries/dispatch/_dispatch.py
+++ b/src/lovagetray/queries/dispatch/_dispatch.py
@@ -70,6 +70,8 @@
         Whether any replica may have worked on it.
     lost
         Whether no answer can come any more.
+    last_failure
+        The code of what went wrong last, for logs.
     """
 
     service: str
@@ -80,6 +82,7 @@
     may_have_run: bool = False
     lost: bool = False
     failed: bool = False
+    last_failure: str = ""
     attempts: int = 0
     first_sent_at: timedelta | None = None
 
@@ -88,6 +91,14 @@
         """Whether nothing more is expected."""
         return self.reply is not None or self.lost
 
+    @property
+    def explanation(self) -> str:
+        """Why there is no answer: the replicas that were tried and what they did."""
+        if not self.tried:
+            return f"{self.service}: no replica"
+        state = "silent" if self.out else self.last_failure
+        return f"{self.service}: {state} at {', '.join(sorted(self.tried))}"
+
 
 class Dispatch:
     """One request on its way to the replicas of some services.
@@ -186,11 +197,13 @@
             case ReplicaReply() as reply:
                 placement.answered(self._route, replica, reply, latency, now)
                 await self._take_reply(slot, reply)
-            case ConnectFailed():
+            case ConnectFailed() as failure:
+                slot.last_failure = failure.code
                 placement.unreachable(replica)
                 slot.attempts -= 1
                 await self._note_failure(slot)
-            case ConnectionLost():
+            case ConnectionLost() as failure:
+                slot.last_failure = failure.code
                 slot.may_have_run = True
                 if exchange.abandoned_at is None:
                     placement.lost(replica)
@@ -209,6 +222,7 @@
             if self._wake_on_any or self.settled:
                 await self._changed.set()
             return
+        slot.last_failure = f"status {reply.status}"
         if not reply.not_run:
             slot.may_have_run = True
             slot.failure_reply = reply
@@ -248,7 +262,9 @@
         notice = self._choose(slot)
         if notice is None:
             return False
-        if slot.attempts > 0 and not placement.budget.take(slot.service):
+        if slot.attempts > 0 and not placement.budget.take(
+            slot.service, hedge=kind == "hedge"
+        ):
             return False
         now = self._tools.clock.elapsed()
         payload = self._tools.encoder.complete(
--- a/src/lovagetray/queries/gathering/_gather.py
+++ b/src/lovagetray/queries/gathering/_gather.py
@@ -118,7 +118,7 @@
         request_id=request.request_id,
         route=route.name,
         included=len(replies),
-        missing=[slot.service for slot in dispatch.slots if slot.reply is None],
+        missing=[slot.explanation for slot in dispatch.slots if slot.reply is None],
         hedges=dispatch.hedges,
         hedge_after_ms=_milliseconds(tools.placement.hedge_delay(route)),
         retries=dispatch.retries,
--- a/src/lovagetray/queries/placing/_extra_budget.py
+++ b/src/lovagetray/queries/placing/_extra_budget.py
@@ -8,6 +8,7 @@
 
 # Instances see the fleet with a delay; what one holds too much, this leaves over.
 _SAFETY = 0.8
+_KEPT_FOR_RETRIES = 0.15
 
 
 class _Window:
@@ -67,17 +68,28 @@
 
     def left(self, service: str) -> float:
         """Return how many second attempts may be sent now."""
+        return self._left(service, 1.0)
+
+    def _left(self, service: str, share: float) -> float:
         now = self._clock.elapsed()
         requests = self._requests.get(service)
         extras = self._extras.get(service)
         counted = 0 if requests is None else requests.count(now)
         used = 0 if extras is None else extras.count(now)
         allowed = self._ratio * counted + self._fixed / max(1, self._instances())
-        return allowed * _SAFETY - used
-
-    def take(self, service: str) -> bool:
-        """Use one second attempt; False if none is left."""
-        if self.left(service) < 1:
+        return allowed * _SAFETY * share - used
+
+    def take(self, service: str, hedge: bool = False) -> bool:
+        """Use one second attempt; False if none is left.
+
+        Parameters
+        ----------
+        hedge
+            Whether the first attempt may still answer; some attempts are kept for
+            requests whose first attempt has failed.
+        """
+        kept = _KEPT_FOR_RETRIES if hedge else 0.0
+        if self._left(service, 1 - kept) < 1:
             return False
         window = self._extras.get(service)
         if window is None:
--- a/src/lovagetray/queries/placing/_placement.py
+++ b/src/lovagetray/queries/placing/_placement.py
@@ -13,10 +13,10 @@
 from lovagetray.targets import Room
 
 # The share of answers that come before a second attempt is considered.
-_HEDGE_QUANTILE = 0.88
+_HEDGE_QUANTILE = 0.85
 # First guesses before a route has answers, as shares of its target latency.
-_FIRST_MEAN = 0.2
-_FIRST_LATE = 0.4
+_FIRST_MEAN = 0.1
+_FIRST_LATE = 0.2
 # Below this a second attempt cannot be told from scheduling delays.
 _SHORTEST_HEDGE = timedelta(milliseconds=5)
 
