Forget what is known of replicas that get no requests

Cause: a replica that had failed once kept its penalty for ever, because only requests changed it and it got none while the others were free; found by the new feature 'A replica that accepts no connection is tried again after a while'. Change: slowness and share of failures lose half of their weight in a second. Also: features for the book of replicas, announcements among instances, placing, the shared budget and the log stream.

--- /dev/null
+++ b/features/steps/announcing_steps.py
@@ -0,0 +1,145 @@
+"""Steps for announcements among instances, in virtual time."""
+
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+from curio import spawn
+from expression import Result
+from fakes.replica_script import notice
+from fakes.virtual_time import run_virtual
+
+from lovagetray import Address, SystemClock
+from lovagetray._peer_messages import NoticesSeen, ReplicaNotices, ReplicasLeft
+from lovagetray._routing_types import ReplicaState
+from lovagetray._types import InstanceId
+from lovagetray.commands.announcing import Announcing
+from lovagetray.state import InstanceRecord, InstanceState, Members, ReplicaBook
+
+_LONG = timedelta(hours=1)
+_LATE = timedelta(milliseconds=40)
+
+
+class ConfirmingLink:
+    """Peers that confirm what they are told, some of them."""
+
+    def __init__(self, confirming: tuple[str, ...]) -> None:
+        self.confirming = confirming
+        self.sent: list[Any] = []
+        self.announcing: Any = None
+
+    async def send(self, name: str, message: Any) -> None:
+        self.sent.append(message)
+
+    async def broadcast(self, message: Any) -> None:
+        self.sent.append(message)
+        if getattr(message, "number", 0):
+            for name in self.confirming:
+                await spawn(self._confirm, name, message.number, daemon=True)
+
+    async def _confirm(self, name: str, number: int) -> None:
+        await SystemClock().sleep(_LATE)
+        await self.announcing.receive(name, NoticesSeen(number))
+
+
+@given("an instance with peers a and b")
+def set_up(context: Context) -> None:
+    context.peers = ("a", "b")
+
+
+@when("a replica says that it drains and both peers confirm")
+def both_confirm(context: Context) -> None:
+    _drain(context, ("a", "b"))
+
+
+@when("a replica says that it drains and only a confirms")
+def one_confirms(context: Context) -> None:
+    _drain(context, ("a",))
+
+
+@when("a replica says that it drains and no peer confirms")
+def none_confirms(context: Context) -> None:
+    _drain(context, ())
+
+
+@when("an unknown replica says that it is gone and both peers confirm")
+def unknown_leaves(context: Context) -> None:
+    _run(context, ("a", "b"), lambda announcing: announcing.leave("stranger"))
+
+
+@when("5 replicas announce themselves 4 times in a second")
+def announce_often(context: Context) -> None:
+    async def work(announcing: Announcing) -> Any:
+        await spawn(announcing.run, daemon=True)
+        result: Any = None
+        for number in range(1, 5):
+            for replica in range(5):
+                result = await announcing.accept(notice(f"r{replica}", sequence=number))
+            await SystemClock().sleep(timedelta(milliseconds=240))
+        await SystemClock().sleep(timedelta(milliseconds=200))
+        return result
+
+    _run(context, (), work)
+
+
+@then("it is acknowledged after both confirmed")
+def check_both(context: Context) -> None:
+    assert context.result.is_ok()
+    assert context.took >= _LATE, context.took
+    assert context.took < 2 * _LATE, context.took
+
+
+@then("it is acknowledged within {milliseconds:d} ms")
+def check_within(context: Context, milliseconds: int) -> None:
+    assert context.result.is_ok()
+    assert context.took <= timedelta(milliseconds=milliseconds), context.took
+
+
+@then("it is not acknowledged")
+def check_refused(context: Context) -> None:
+    match context.result:
+        case Result(tag="error", error=failure):
+            assert failure.code == "notice_unconfirmed"
+        case _:
+            raise AssertionError(context.result)
+
+
+@then("the peers were told that it left")
+def check_told(context: Context) -> None:
+    assert context.result.is_ok()
+    assert ReplicasLeft(1, ("stranger",)) in context.link.sent
+
+
+@then("each change was sent at once and the rest in one message")
+def check_messages(context: Context) -> None:
+    notices = [one for one in context.link.sent if isinstance(one, ReplicaNotices)]
+    assert [len(one.items) for one in notices] == [1] * 5 + [5], notices
+
+
+def _drain(context: Context, confirming: tuple[str, ...]) -> None:
+    draining = notice("r1", state=ReplicaState.DRAINING, sequence=2)
+    _run(context, confirming, lambda announcing: announcing.accept(draining))
+
+
+def _run(context: Context, confirming: tuple[str, ...], act: Any) -> None:
+    async def work() -> None:
+        clock = SystemClock()
+        members = Members(_record("me"), _LONG)
+        for name in context.peers:
+            members.saw(_record(name), clock.elapsed())
+        link = context.link = ConfirmingLink(confirming)
+        book = ReplicaBook(_LONG, _LONG)
+        link.announcing = Announcing(book, members, link, clock, Random(1))
+        began = clock.elapsed()
+        context.result = await act(link.announcing)
+        context.took = clock.elapsed() - began
+
+    run_virtual(work)
+
+
+def _record(name: str) -> InstanceRecord:
+    address = Address("127.0.0.1", 1)
+    instance = InstanceId(name, "1")
+    return InstanceRecord(instance, InstanceState.SERVING, "here", address, address)
--- /dev/null
+++ b/features/steps/placing_steps.py
@@ -0,0 +1,164 @@
+"""Steps for the choice of replicas and the budget of second attempts."""
+
+from collections import Counter
+from datetime import timedelta
+from heapq import heappop, heappush
+from random import Random
+
+from behave import given, then, when
+from behave.runner import Context
+from fakes.replica_script import notice
+
+from lovagetray._routing_types import (
+    OneService,
+    Repeat,
+    ReplicaNotice,
+    ReplicaReply,
+    Route,
+)
+from lovagetray.queries.placing import ExtraBudget, Placement
+from lovagetray.state import ReplicaBook
+from lovagetray.targets import Room
+
+_LONG = timedelta(hours=1)
+_TARGET = timedelta(milliseconds=100)
+_ROUTE = Route("r", "h", "/", Repeat.IDEMPOTENT, _LONG, _TARGET, 1, 2, OneService("s"))
+_WINDOW = timedelta(seconds=10)
+_REPLY = ReplicaReply(200, (), b"", "", "stamp", False, False, None)
+
+
+class SteppedClock:
+    """A clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.time = timedelta(seconds=1000)
+
+    def elapsed(self) -> timedelta:
+        return self.time
+
+
+@given("replicas that answer in {first:d}, {second:d} and {third:d} ms")
+def set_up(context: Context, first: int, second: int, third: int) -> None:
+    context.clock = SteppedClock()
+    book = ReplicaBook(_LONG, _LONG)
+    context.latency = {}
+    for number, latency in enumerate((first, second, third), 1):
+        book.accept(notice(f"p{number}"), context.clock.elapsed())
+        context.latency[f"p{number}"] = timedelta(milliseconds=latency)
+    budget = ExtraBudget(0.2, 10, _WINDOW, context.clock, lambda: 1)
+    context.placement = Placement(book, budget, context.clock, Random(1), "here")
+    context.full = set()
+
+
+@when("{count:d} requests are placed, {width:d} at a time")
+def place(context: Context, count: int, width: int) -> None:
+    context.counts = Counter()
+    running: list[tuple[timedelta, int, str]] = []
+    for number in range(count):
+        if len(running) == width:
+            _end(context, *heappop(running))
+        replica = _choose(context)
+        context.counts[replica] += 1
+        context.placement.sent(replica, number, context.clock.time)
+        ends = context.clock.time + context.latency[replica]
+        heappush(running, (ends, number, replica))
+
+
+@then("the fastest replica gets the most and the slowest the fewest")
+def check_order(context: Context) -> None:
+    counts = [context.counts[f"p{number}"] for number in (1, 2, 3)]
+    assert counts == sorted(counts, reverse=True) and counts[2] < counts[0], counts
+
+
+@when("an exchange with the first has been out for {milliseconds:d} ms")
+def stall(context: Context, milliseconds: int) -> None:
+    context.placement.sent("p1", "stalled", context.clock.time)
+    context.clock.time += timedelta(milliseconds=milliseconds)
+
+
+@when("the first accepts no connection")
+def refuse(context: Context) -> None:
+    context.placement.unreachable("p1")
+
+
+@when("all connections of the first are in use")
+def fill(context: Context) -> None:
+    context.full = {"p1"}
+
+
+@then("the next {count:d} requests avoid the first")
+def check_avoided(context: Context, count: int) -> None:
+    assert "p1" not in {_choose(context) for _ in range(count)}
+
+
+@then("after {seconds:d} seconds it gets requests again")
+def check_again(context: Context, seconds: int) -> None:
+    context.clock.time += timedelta(seconds=seconds)
+    for replica in ("p2", "p3"):
+        context.placement.sent(replica, "busy", context.clock.time)
+    assert "p1" in {_choose(context) for _ in range(50)}
+
+
+@given(
+    "{count:d} instances that share a ratio of {ratio:g} and {fixed:d} fixed attempts"
+)
+def share_budget(context: Context, count: int, ratio: float, fixed: int) -> None:
+    context.clock = SteppedClock()
+    context.ratio, context.fixed = ratio, fixed
+    context.budgets = [
+        ExtraBudget(ratio, fixed, _WINDOW, context.clock, lambda: count)
+        for _ in range(count)
+    ]
+
+
+@when("each gets {rate:d} requests a second and wants a second attempt for each")
+def want_all(context: Context, rate: int) -> None:
+    context.requests, context.extras = [], []
+    for _ in range(40 * rate):
+        context.clock.time += timedelta(seconds=1 / rate)
+        for budget in context.budgets:
+            budget.request(["s"])
+            context.requests.append(context.clock.time)
+            if budget.take("s", hedge=True):
+                context.extras.append(context.clock.time)
+            elif budget.take("s"):
+                context.extras.append(context.clock.time)
+
+
+@then("no 10 seconds hold more second attempts than the ratio and the fixed part")
+def check_budget(context: Context) -> None:
+    assert context.extras
+    for end in sorted(set(context.extras)):
+        extras = sum(end - _WINDOW < one <= end for one in context.extras)
+        requests = sum(end - _WINDOW < one <= end for one in context.requests)
+        assert extras <= context.ratio * requests + context.fixed, (end, extras)
+
+
+@when("{count:d} requests were hedged as often as allowed")
+def hedge_all(context: Context, count: int) -> None:
+    (budget,) = context.budgets
+    for _ in range(count):
+        budget.request(["s"])
+        budget.take("s", hedge=True)
+
+
+@then("a failed request still gets a second attempt")
+def check_kept(context: Context) -> None:
+    (budget,) = context.budgets
+    assert not budget.take("s", hedge=True)
+    assert budget.take("s")
+
+
+def _choose(context: Context) -> str:
+    def room_of(candidate: ReplicaNotice, now: timedelta) -> Room:
+        return Room.FULL if candidate.replica in context.full else Room.IDLE
+
+    chosen = context.placement.choose(_ROUTE, "s", (), room_of)
+    assert chosen is not None
+    return str(chosen.replica)
+
+
+def _end(context: Context, ends: timedelta, number: int, replica: str) -> None:
+    context.clock.time = max(context.clock.time, ends)
+    latency = context.placement.ended(replica, number, context.clock.time)
+    context.placement.answered(_ROUTE, replica, _REPLY, latency, context.clock.time)
--- /dev/null
+++ b/features/steps/replica_book_steps.py
@@ -0,0 +1,91 @@
+"""Steps for the book of announced replicas."""
+
+from datetime import timedelta
+from re import fullmatch
+
+from behave import given, then, when
+from behave.runner import Context
+from fakes.replica_script import notice
+
+from lovagetray._routing_types import ReplicaNotice, ReplicaRun, ReplicaState
+from lovagetray.state import ReplicaBook
+
+_LIFETIME = timedelta(seconds=7)
+_MEMORY = timedelta(seconds=120)
+
+
+@given('the notice "{one}"')
+def hold_one(context: Context, one: str) -> None:
+    context.now = timedelta(seconds=100)
+    context.book = ReplicaBook(_LIFETIME, _MEMORY)
+    context.book.accept(_parse(one), context.now)
+
+
+@given('the notices "{one}" and "{other}"')
+def hold_two(context: Context, one: str, other: str) -> None:
+    hold_one(context, one)
+    context.book.accept(_parse(other), context.now)
+
+
+@given("{replica} left")
+def left(context: Context, replica: str) -> None:
+    context.book.leave(replica, context.now)
+
+
+@when('"{one}" arrives')
+def arrive(context: Context, one: str) -> None:
+    context.book.accept(_parse(one), context.now)
+
+
+@when("{seconds:d} seconds pass")
+def wait(context: Context, seconds: int) -> None:
+    context.now += timedelta(seconds=seconds)
+    context.book.forget(context.now)
+
+
+@when('another instance holds "{one}" and "{other}"')
+def compare(context: Context, one: str, other: str) -> None:
+    runs = [ReplicaRun(held.replica, held.order) for held in map(_parse, (one, other))]
+    context.newer = [known.notice.replica for known in context.book.newer_than(runs)]
+
+
+@then("only {replica} is newer here")
+def check_newer(context: Context, replica: str) -> None:
+    assert context.newer == [replica], context.newer
+
+
+@then("no replica is usable")
+def check_none(context: Context) -> None:
+    assert not _usable(context)
+
+
+@then("{replica} is usable")
+def check_usable(context: Context, replica: str) -> None:
+    assert _usable(context) == [replica], _usable(context)
+
+
+@then("{replica} is usable and {other} is not")
+def check_only(context: Context, replica: str, other: str) -> None:
+    assert _usable(context) == [replica], _usable(context)
+
+
+@then("{replica} is forgotten")
+def check_forgotten(context: Context, replica: str) -> None:
+    assert context.book.find(replica) is None
+
+
+def _usable(context: Context) -> list[str]:
+    return [one.replica for one in context.book.usable("s", context.now)]
+
+
+def _parse(text: str) -> ReplicaNotice:
+    found = fullmatch(r"(\w+) (\w+) born (\d+) number (\d+)(?: port (\d+))?", text)
+    assert found is not None, text
+    replica, state, born, number, port = found.groups()
+    return notice(
+        replica,
+        state=ReplicaState(state),
+        born=int(born),
+        sequence=int(number),
+        port=int(port) if port else None,
+    )
--- a/src/lovagetray/queries/placing/_choose.py
+++ b/src/lovagetray/queries/placing/_choose.py
@@ -71,8 +71,9 @@
     now: timedelta,
 ) -> float:
     """Return the expected latency of a replica relative to a mean answer."""
-    cost = record.slowness * (1 + record.busy(notice.slots, now))
-    cost += _FAILURE_PENALTY * record.failure_share
+    slowness, failure_share = record.expected(now)
+    cost = slowness * (1 + record.busy(notice.slots, now))
+    cost += _FAILURE_PENALTY * failure_share
     if record.oldest(now) > late * _STALL_FACTOR:
         cost += _STALL_PENALTY
     if now < record.avoid_until:
--- a/src/lovagetray/queries/placing/_placement.py
+++ b/src/lovagetray/queries/placing/_placement.py
@@ -55,7 +55,8 @@
         """Return the record of a replica."""
         record = self._replicas.get(replica)
         if record is None:
-            record = self._replicas[replica] = ReplicaRecord()
+            record = ReplicaRecord(observed_at=self._clock.elapsed())
+            self._replicas[replica] = record
         return record
 
     def route_record(self, route: Route) -> RouteRecord:
@@ -126,7 +127,7 @@
         if reply.succeeded:
             measured = self.route_record(route)
             seconds = latency.total_seconds()
-            record.succeeded(seconds / max(0.001, measured.mean))
+            record.succeeded(seconds / max(0.001, measured.mean), now)
             measured.observe(seconds, _HEDGE_QUANTILE)
         else:
             record.failed(now)
--- a/src/lovagetray/queries/placing/_records.py
+++ b/src/lovagetray/queries/placing/_records.py
@@ -11,6 +11,9 @@
 _QUANTILE_STEP = 0.05
 _FIRST_AVOIDANCE = timedelta(milliseconds=250)
 _LONGEST_AVOIDANCE = timedelta(seconds=2)
+# What is known of a replica that gets no requests loses half of its weight in this
+# time, so that one that has recovered is tried again.
+_HALF_LIFE = timedelta(seconds=1)
 # A report of load describes the moment of the reply; it fades within this time.
 _LOAD_FADES = timedelta(milliseconds=300)
 
@@ -25,20 +28,24 @@
         Latency relative to the mean of its service's route; 1 is the mean.
     failure_share
         Recent share of exchanges that failed, 0 to 1.
+    observed_at
+        When the newest answer or failure came.
     out
         When each running exchange was sent, in order.
     """
 
     slowness: float = 1.0
     failure_share: float = 0.0
+    observed_at: timedelta = timedelta(0)
     out: dict[object, timedelta] = field(default_factory=dict)
     load: ReplicaLoad | None = None
     load_at: timedelta = timedelta(0)
     avoid_until: timedelta = timedelta(0)
     avoidance: timedelta = timedelta(0)
 
-    def succeeded(self, ratio: float) -> None:
+    def succeeded(self, ratio: float, now: timedelta) -> None:
         """Record an answer; `ratio` is its latency over the mean of the route."""
+        self._fade(now)
         self.slowness += _SMOOTHING * (min(ratio, 10.0) - self.slowness)
         self.failure_share -= _SMOOTHING * self.failure_share
         self.avoidance = timedelta(0)
@@ -46,8 +53,21 @@
 
     def failed(self, now: timedelta) -> None:
         """Record a failure that the replica may be blamed for."""
+        self._fade(now)
         self.failure_share += _SMOOTHING * (1 - self.failure_share)
 
+    def _fade(self, now: timedelta) -> None:
+        """Let old observations count for less."""
+        weight = 0.5 ** ((now - self.observed_at) / _HALF_LIFE)
+        self.slowness = 1 + (self.slowness - 1) * weight
+        self.failure_share *= weight
+        self.observed_at = now
+
+    def expected(self, now: timedelta) -> tuple[float, float]:
+        """Return slowness and share of failures, faded to a moment."""
+        weight = 0.5 ** ((now - self.observed_at) / _HALF_LIFE)
+        return 1 + (self.slowness - 1) * weight, self.failure_share * weight
+
     def unreachable(self, now: timedelta) -> None:
         """Record that no connection was possible; avoided for a growing time."""
         self.failed(now)
