Callers' connections: features over loopback; 431 for a large head; refusals reach the caller

Cause: a head beyond the limit was answered 413 as a body is, and a refusal before the whole request was read could be lost with the reset of the connection.

--- /dev/null
+++ b/features/steps/caller_connection_steps.py
@@ -0,0 +1,234 @@
+"""Steps for callers' connections, over loopback."""
+
+from contextlib import suppress
+from datetime import timedelta
+from socket import create_connection, socket
+from threading import Event, Thread
+from time import monotonic
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+from curio import CancelledError, Kernel, sleep, spawn
+from fleet import free_ports
+
+from lovagetray import Address, SystemClock
+from lovagetray._routing_types import CallerLimits
+from lovagetray.platform import encode_unreadable
+from lovagetray.wire import CallerServer, RawRequest, RawResponse
+
+_LIMITS = CallerLimits(head_time=timedelta(milliseconds=400))
+_POLL_SECONDS = 0.01
+
+
+class ServedCallers:
+    """A caller server in a thread of its own."""
+
+    def __init__(self, work_seconds: float) -> None:
+        self.address = Address("127.0.0.1", free_ports(1)[0])
+        self.requests: list[RawRequest] = []
+        self.cancelled = Event()
+        self._work_seconds = work_seconds
+        self._ended = Event()
+        self._orders: list[str] = []
+        self._started = Event()
+        self._thread = Thread(target=self._run, daemon=True)
+        self._thread.start()
+        assert self._started.wait(5)
+
+    def order(self, name: str) -> None:
+        """Let the server drain or close."""
+        self._orders.append(name)
+        while self._orders:
+            self._ended.wait(_POLL_SECONDS)
+
+    def stop(self) -> None:
+        """End the server."""
+        self._ended.set()
+        self._thread.join(5)
+
+    def _run(self) -> None:
+        with Kernel() as kernel:
+            kernel.run(self._serve)
+
+    async def _serve(self) -> None:
+        server = CallerServer(
+            self._handle, encode_unreadable, SystemClock(), lambda: _LIMITS
+        )
+        task = await spawn(server.run, self.address)
+        while not self._ended.is_set():
+            await sleep(_POLL_SECONDS)
+            self._started.set()
+            if self._orders:
+                match self._orders[0]:
+                    case "drain":
+                        server.drain()
+                    case _:
+                        await server.close()
+                self._orders.pop()
+        await task.cancel()
+
+    async def _handle(self, request: RawRequest) -> RawResponse:
+        self.requests.append(request)
+        try:
+            await sleep(self._work_seconds)
+        except CancelledError:
+            self.cancelled.set()
+            raise
+        return RawResponse(200, (), request.target)
+
+
+@given("a server whose requests take {seconds:d} s")
+def slow_server(context: Context, seconds: int) -> None:
+    context.fleet = context.server = ServedCallers(seconds)
+
+
+@given("a server that echoes")
+def echo_server(context: Context) -> None:
+    context.fleet = context.server = ServedCallers(0)
+
+
+@when("a caller sends a request and closes its connection")
+def leave(context: Context) -> None:
+    with _connect(context) as connection:
+        connection.sendall(_request("/1"))
+        until = monotonic() + 5
+        while not context.server.requests and monotonic() < until:
+            context.server.cancelled.wait(_POLL_SECONDS)
+        assert context.server.requests
+
+
+@then("the request is cancelled within {milliseconds:d} ms")
+def check_cancelled(context: Context, milliseconds: int) -> None:
+    # Half a second is the platform's bound; the rest is left to the way.
+    assert context.server.cancelled.wait(milliseconds / 1000)
+
+
+@when("a caller sends {count:d} requests on one connection")
+def keep(context: Context, count: int) -> None:
+    context.answers = []
+    with _connect(context) as connection:
+        for number in range(count):
+            connection.sendall(_request(f"/{number}"))
+            context.answers.append(_receive(connection))
+
+
+@then("each answer echoes its own request")
+def check_echo(context: Context) -> None:
+    for number, answer in enumerate(context.answers):
+        assert answer.endswith(f"\r\n\r\n/{number}".encode()), answer
+
+
+@when("a caller sends {count:d} requests at once")
+def pipeline(context: Context, count: int) -> None:
+    with _connect(context) as connection:
+        connection.sendall(b"".join(_request(f"/{one}") for one in range(count)))
+        received = b""
+        while received.count(b"HTTP/1.1 200") < count or not received.endswith(
+            f"/{count - 1}".encode()
+        ):
+            received += connection.recv(65536)
+        context.received = received
+
+
+@then("the answers come in the order of the requests")
+def check_order(context: Context) -> None:
+    places = [context.received.index(f"\r\n\r\n/{one}".encode()) for one in range(3)]
+    assert places == sorted(places)
+
+
+@when("a caller sends input that is {what}")
+def send_bad(context: Context, what: str) -> None:
+    sent = {
+        "two lengths": b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+        b"Content-Length: 2\r\n\r\nab",
+        "a length and chunks": b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+        b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n",
+        "no request at all": b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n",
+        "a head of 20 KB": b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 20_000,
+        "a body of 300 KB": b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 300000"
+        b"\r\n\r\n" + b"x" * 300_000,
+        "half a head": b"GET / HTTP/1.1\r\nHo",
+    }[what]
+    with _connect(context) as connection:
+        with suppress(ConnectionError):
+            # The server may answer and close before it has taken all.
+            connection.sendall(sent)
+        context.received = _receive_all(connection)
+
+
+@then("the status is {status:d} and the connection ends")
+def check_status(context: Context, status: int) -> None:
+    assert context.received.startswith(
+        f"HTTP/1.1 {status} ".encode()
+    ), context.received[:200]
+    assert not context.server.requests
+
+
+@when("a caller sends a body in chunks")
+def send_chunks(context: Context) -> None:
+    with _connect(context) as connection:
+        connection.sendall(
+            b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n4;x=y\r\ndefg\r\n0\r\n\r\n"
+        )
+        _receive(connection)
+
+
+@then("the request has the whole body")
+def check_body(context: Context) -> None:
+    assert context.server.requests[0].body == b"abcdefg"
+
+
+@when("the server drains and a caller sends a request")
+def drain(context: Context) -> None:
+    context.server.order("drain")
+    with _connect(context) as connection:
+        connection.sendall(_request("/1"))
+        context.received = _receive_all(connection)
+
+
+@then("the answer asks to close the connection")
+def check_close(context: Context) -> None:
+    assert b"connection: close" in context.received.lower(), context.received
+
+
+@when("the server closes")
+def close(context: Context) -> None:
+    context.server.order("close")
+
+
+@then("new connections are refused")
+def check_closed(context: Context) -> None:
+    try:
+        _connect(context).close()
+    except ConnectionRefusedError:
+        return
+    raise AssertionError("the server still accepts connections")
+
+
+def _connect(context: Context) -> socket:
+    address: Any = context.server.address
+    connection = create_connection((address.host, address.port), 5)
+    connection.settimeout(5)
+    return connection
+
+
+def _request(path: str) -> bytes:
+    return f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode()
+
+
+def _receive(connection: socket) -> bytes:
+    received = b""
+    while b"\r\n\r\n/" not in received:
+        received += connection.recv(65536)
+    return received
+
+
+def _receive_all(connection: socket) -> bytes:
+    received = b""
+    with suppress(ConnectionResetError):
+        # A server that closes with unread input resets the connection.
+        while data := connection.recv(65536):
+            received += data
+    return received
--- a/src/lovagetray/_errors.py
+++ b/src/lovagetray/_errors.py
@@ -75,6 +75,17 @@
         return f"the request is larger than {self.limit} bytes"
 
 
+@dataclass(frozen=True, slots=True)
+class HeadTooLarge:
+    """The head of a request exceeded a size limit, in bytes."""
+
+    code: ClassVar[str] = "head_too_large"
+    limit: int
+
+    def __str__(self) -> str:
+        return f"the head of the request is larger than {self.limit} bytes"
+
+
 @dataclass(frozen=True, slots=True)
 class RequestTooSlow:
     """A request did not arrive completely within its time limit."""
@@ -202,6 +213,7 @@
     TimedOut
     | MalformedRequest
     | RequestTooLarge
+    | HeadTooLarge
     | RequestTooSlow
     | UnknownRoute
     | UnknownService
--- a/src/lovagetray/platform/_caller_calls.py
+++ b/src/lovagetray/platform/_caller_calls.py
@@ -5,7 +5,12 @@
 
 from expression import Result
 
-from lovagetray._errors import MalformedRequest, RequestTooLarge, RequestTooSlow
+from lovagetray._errors import (
+    HeadTooLarge,
+    MalformedRequest,
+    RequestTooLarge,
+    RequestTooSlow,
+)
 from lovagetray._routing_errors import (
     ForwardFailure,
     NoRoute,
@@ -112,12 +117,14 @@
 
 
 def encode_unreadable(
-    failure: MalformedRequest | RequestTooLarge | RequestTooSlow,
+    failure: MalformedRequest | RequestTooLarge | HeadTooLarge | RequestTooSlow,
 ) -> RawResponse:
     """Return the response to a request that could not be read."""
     match failure:
         case RequestTooSlow():
             return _refusal(408, str(failure))
+        case HeadTooLarge():
+            return _refusal(431, str(failure))
         case RequestTooLarge():
             return _refusal(413, str(failure))
         case _:
--- a/src/lovagetray/wire/_caller_server.py
+++ b/src/lovagetray/wire/_caller_server.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from socket import SHUT_WR
 from typing import Any, NamedTuple
 
 from curio import (
@@ -34,7 +35,12 @@
 from structlog import get_logger
 
 from lovagetray._clock import Clock
-from lovagetray._errors import MalformedRequest, RequestTooLarge, RequestTooSlow
+from lovagetray._errors import (
+    HeadTooLarge,
+    MalformedRequest,
+    RequestTooLarge,
+    RequestTooSlow,
+)
 from lovagetray._routing_types import CallerLimits
 from lovagetray._types import Address
 
@@ -45,7 +51,7 @@
 _CLOSE_LIMIT = timedelta(seconds=1)
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
-RequestFailure = MalformedRequest | RequestTooLarge | RequestTooSlow
+RequestFailure = MalformedRequest | RequestTooLarge | HeadTooLarge | RequestTooSlow
 
 
 class RawRequest(NamedTuple):
@@ -299,10 +305,17 @@
         _log.info("request_unreadable", code=failure.code, reason=str(failure))
         try:
             await self._clock.within(_CLOSE_LIMIT, self._send(response, True))
+            # A close with unread input would reset the connection and the response.
+            await self._clock.within(_CLOSE_LIMIT, self._discard_input())
         except (OSError, LocalProtocolError):
             # The caller is gone or its request has left no state to answer in.
             pass
 
+    async def _discard_input(self) -> None:
+        await self._client.shutdown(SHUT_WR)
+        while await self._client.recv(_RECEIVE_BYTES):
+            pass
+
     async def _send(self, response: RawResponse, close: bool) -> None:
         headers = [
             *response.headers,
@@ -319,5 +332,5 @@
 
 def _failure_of(error: RemoteProtocolError, limits: CallerLimits) -> RequestFailure:
     if error.error_status_hint == 431:
-        return RequestTooLarge(limits.head_bytes)
+        return HeadTooLarge(limits.head_bytes)
     return MalformedRequest(str(error))
