--- a/src/lovagetray/cli/_main.py
+++ b/src/lovagetray/cli/_main.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from lovagetray.cli._settings import add_settings_parser
-from lovagetray.cli.commands import add_entry_parser
+from lovagetray.cli.commands import add_entry_parser, add_gateway_parser
 from lovagetray.cli.queries import (
     add_audit_parser,
     add_check_settings_parser,
@@ -28,6 +28,7 @@
 _Adder = Callable[[Any], None]
 _ADDERS: tuple[_Adder, ...] = (
     add_entry_parser,
+    add_gateway_parser,
     add_query_parser,
     add_status_parser,
     add_settings_parser,
--- a/src/lovagetray/cli/queries/_check_settings.py
+++ b/src/lovagetray/cli/queries/_check_settings.py
@@ -16,11 +16,15 @@
     parser = subparsers.add_parser(
         "check-settings", help="check the settings file of an instance"
     )
-    parser.add_argument("file", type=Path, help="INI file")
+    parser.add_argument(
+        "file", type=Path, help="INI file of an entry, or TOML file of a gateway"
+    )
     parser.set_defaults(run=_run_check)
 
 
 def _run_check(arguments: Namespace) -> int:
+    if arguments.file.suffix == ".toml":
+        return _check_gateway(arguments.file)
     match read_process_settings(arguments.file):
         case Result(tag="ok", ok=settings):
             print(f"{arguments.file}: settings of instance {settings.name} are valid")
@@ -28,3 +32,16 @@
         case Result(error=failure):
             print(failure, file=stderr)
             return ExitCode.INVALID_SETTINGS
+
+
+def _check_gateway(file: Path) -> int:
+    # Loaded here, because the other subcommands need neither of its libraries.
+    from lovagetray.platform import read_settings
+
+    match read_settings(file):
+        case Result(tag="ok", ok=settings):
+            print(f"{file}: settings of gateway {settings.name} are valid")
+            return ExitCode.DONE
+        case Result(error=failure):
+            print(failure, file=stderr)
+            return ExitCode.INVALID_SETTINGS
--- a/src/lovagetray/platform/__main__.py
+++ b/src/lovagetray/platform/__main__.py
@@ -6,6 +6,6 @@
 if __name__ == "__main__":
     # A reload that comes before the settings are read changes nothing.
     signal(SIGHUP, SIG_IGN)
-    from lovagetray.platform._run import run_gateway
+    from lovagetray.platform.run import run_gateway
 
     exit(run_gateway())
--- a/src/lovagetray/platform/_settings.py
+++ b/src/lovagetray/platform/_settings.py
@@ -1,6 +1,7 @@
 """The settings file of a process on the platform."""
 
 from datetime import timedelta
+from os import environ
 from pathlib import Path
 from tomllib import TOMLDecodeError, loads
 
@@ -15,8 +16,8 @@
 from lovagetray._settings_errors import InvalidSettings, SettingProblem
 from lovagetray._types import Address
 
-# The variable that holds the path of the settings file.
-SETTINGS_VARIABLE = "LOVAGETRAY_SETTINGS"
+_VARIABLE = "LOVAGETRAY_SETTINGS"
+_DEFAULT_PATH = "/etc/lovagetray/settings.toml"
 
 
 class _BindAddrs(Struct):
@@ -55,6 +56,11 @@
     )
 
 
+def settings_file() -> Path:
+    """Return the path of the settings file of this process."""
+    return Path(environ.get(_VARIABLE, _DEFAULT_PATH))
+
+
 def read_settings(path: Path) -> Result[GatewaySettings, InvalidSettings]:
     """Return the settings in a file, or what is wrong with it."""
     try:
--- a/src/lovagetray/platform/_run.py
+++ b/src/lovagetray/platform/run.py
@@ -1,7 +1,6 @@
 """Runs a gateway on the platform."""
 
 from datetime import timedelta
-from os import environ
 from pathlib import Path
 from sys import stderr, stdout
 
@@ -21,7 +20,7 @@
 )
 from lovagetray.platform._document import decode_document
 from lovagetray.platform._replica_calls import decode_reply, replica_encoder
-from lovagetray.platform._settings import SETTINGS_VARIABLE, read_settings
+from lovagetray.platform._settings import read_settings, settings_file
 from lovagetray.wire import CallerServer, HttpLimits, HttpServer
 
 _INVALID_SETTINGS = 3
@@ -31,11 +30,17 @@
 )
 
 
-def run_gateway() -> int:
-    """Run a gateway with the settings file of the environment; return the exit code."""
-    path = Path(environ.get(SETTINGS_VARIABLE, "/etc/lovagetray/settings.toml"))
+def run_gateway(path: Path | None = None) -> int:
+    """Run a gateway until it is told to stop; return the exit code.
+
+    Parameters
+    ----------
+    path
+        The settings file; the environment names it by default.
+    """
+    settings_path = path or settings_file()
     configure_logging(stream=LogStream(stdout.fileno()))
-    match read_settings(path):
+    match read_settings(settings_path):
         case Result(tag="ok", ok=settings):
             pass
         case Result(error=failure):
@@ -45,7 +50,7 @@
     gateway = Gateway(settings, formats, SystemClock())
 
     def reload() -> GatewaySettings | None:
-        return read_settings(path).default_value(None)
+        return read_settings(settings_path).default_value(None)
 
     code: int = run(gateway.run, _servers, reload)
     return code
