Remember for longer that a replica is slow

A slow replica in the own data centre was tried again after 2.7 s, by each gateway. Change: slowness loses half of its weight in 4 s, failures in 1 s. Test: 'A slow replica is not tried again every second' failed before.

--- a/features/placing.feature
+++ b/features/placing.feature
@@ -12,6 +12,14 @@
     When an exchange with the first has been out for 200 ms
     Then the next 50 requests avoid the first
 
+  Scenario: A slow replica is not tried again every second
+    Answers replicas that are slow for 8 s; each try costs a second attempt. On a calm
+    day a quarter of the queries found the budget of such shards used up.
+    Given replicas that answer in 10, 10 and 10 ms
+    And only the first is in this data centre
+    When the first answers 12 times as slowly as the others, 3 times
+    Then it gets less than 1 of 20 requests for 5 seconds
+
   Scenario: A replica that accepts no connection is tried again after a while
     Answers replicas that crash and come back.
     Given replicas that answer in 10, 10 and 10 ms
--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -40,7 +40,7 @@
 @given("replicas that answer in {first:d}, {second:d} and {third:d} ms")
 def set_up(context: Context, first: int, second: int, third: int) -> None:
     context.clock = SteppedClock()
-    book = ReplicaBook(_LONG, _LONG)
+    book = context.book = ReplicaBook(_LONG, _LONG)
     context.latency = {}
     for number, latency in enumerate((first, second, third), 1):
         book.accept(notice(f"p{number}"), context.clock.elapsed())
@@ -50,6 +50,13 @@
     context.full = set()
 
 
+@given("only the first is in this data centre")
+def move_others(context: Context) -> None:
+    for replica in ("p2", "p3"):
+        elsewhere = notice(replica, sequence=2)._replace(data_centre="elsewhere")
+        context.book.accept(elsewhere, context.clock.elapsed())
+
+
 @when("{count:d} requests are placed, {width:d} at a time")
 def place(context: Context, count: int, width: int) -> None:
     context.counts = Counter()
@@ -76,6 +83,27 @@
     context.clock.time += timedelta(milliseconds=milliseconds)
 
 
+@when("the first answers {factor:d} times as slowly as the others, {count:d} times")
+def slow_down(context: Context, factor: int, count: int) -> None:
+    for number in range(200):
+        replica = f"p{number % 2 + 2}"
+        context.placement.sent(replica, number, context.clock.time)
+        _end(context, context.clock.time + context.latency[replica], number, replica)
+    for number in range(count):
+        context.placement.sent("p1", number, context.clock.time)
+        late = context.clock.time + factor * context.latency["p1"]
+        _end(context, late, number, "p1")
+
+
+@then("it gets less than 1 of {share:d} requests for {seconds:d} seconds")
+def check_rare(context: Context, share: int, seconds: int) -> None:
+    counts: Counter[str] = Counter()
+    for _ in range(20 * seconds):
+        context.clock.time += timedelta(milliseconds=50)
+        counts[_choose(context)] += 1
+    assert counts["p1"] * share < counts.total(), counts
+
+
 @when("the first accepts no connection")
 def refuse(context: Context) -> None:
     context.placement.unreachable("p1")
--- a/src/lovagetray/queries/placing/_records.py
+++ b/src/lovagetray/queries/placing/_records.py
@@ -12,8 +12,10 @@
 _FIRST_AVOIDANCE = timedelta(milliseconds=250)
 _LONGEST_AVOIDANCE = timedelta(seconds=2)
 # What is known of a replica that gets no requests loses half of its weight in this
-# time, so that one that has recovered is tried again.
-_HALF_LIFE = timedelta(seconds=1)
+# time, so that one that has recovered is tried again. Replicas are slow for 8 s at a
+# time, and each try of a slow one costs a second attempt.
+_SLOWNESS_HALF_LIFE = timedelta(seconds=4)
+_FAILURE_HALF_LIFE = timedelta(seconds=1)
 # A report of load describes the moment of the reply; it fades within this time.
 _LOAD_FADES = timedelta(milliseconds=300)
 
@@ -58,15 +60,14 @@
 
     def _fade(self, now: timedelta) -> None:
         """Let old observations count for less."""
-        weight = 0.5 ** ((now - self.observed_at) / _HALF_LIFE)
-        self.slowness = 1 + (self.slowness - 1) * weight
-        self.failure_share *= weight
+        self.slowness, self.failure_share = self.expected(now)
         self.observed_at = now
 
     def expected(self, now: timedelta) -> tuple[float, float]:
         """Return slowness and share of failures, faded to a moment."""
-        weight = 0.5 ** ((now - self.observed_at) / _HALF_LIFE)
-        return 1 + (self.slowness - 1) * weight, self.failure_share * weight
+        age = now - self.observed_at
+        slowness = 1 + (self.slowness - 1) * 0.5 ** (age / _SLOWNESS_HALF_LIFE)
+        return slowness, self.failure_share * 0.5 ** (age / _FAILURE_HALF_LIFE)
 
     def unreachable(self, now: timedelta) -> None:
         """Record that no connection was possible; avoided for a growing time."""
