--- a/src/lovagetray/queries/placing/_placement.py
+++ b/src/lovagetray/queries/placing/_placement.py
@@ -13,7 +13,7 @@
 from lovagetray.targets import Room
 
 # The share of answers that come before a second attempt is considered.
-_HEDGE_QUANTILE = 0.85
+_HEDGE_QUANTILE = 0.9
 # First guesses before a route has answers, as shares of its target latency.
 _FIRST_MEAN = 0.1
 _FIRST_LATE = 0.2
