Refuse an operator's removal that leaves no answering majority

A voter set counts from the moment it is in the leader's log; with three of five disks intact the leader's set of four had two, so its log was the longest and it could not win, and nobody else could. Change: a change of the set by an operator needs a majority of the new set, by the identities of their disks, that answered within the time of silence. Gateways do not use this call.

--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -14,6 +14,18 @@
       | 3    |
       | 34   |
 
+  Scenario Outline: An operator's removal leaves voters that can elect a leader
+    Guards against a removal while the disks of other voters are lost: the new set counts
+    at once, and with fewer than a majority of its disks nobody is elected any more.
+    When the replicated log runs with seed <seed> and every fault
+    Then the run finds no problem
+
+    Examples:
+      | seed  |
+      | 30318 |
+      | 30369 |
+      | 30716 |
+
   Scenario Outline: A randomised run in which the leader keeps three voters by itself
     Guards against a voter set that loses its majority or never settles. Seeds 8, 23 and
     148 ended with a lost voter that was awaited though the set was full again.
--- a/src/lovagetray/commands/agreement/_membership.py
+++ b/src/lovagetray/commands/agreement/_membership.py
@@ -183,6 +183,9 @@
                     return Error(NotLeader(replica.leader or ""))
             if isinstance(outcome, MembershipChangeRefused):
                 return Error(outcome)
+            if not self._answered_by_majority(leading, outcome):
+                reason = "most voters of the new set do not answer"
+                return Error(MembershipChangeRefused(name, reason))
             if not self._settled(leading):
                 reason = "another change is not committed yet"
                 return Error(MembershipChangeRefused(name, reason))
@@ -208,6 +211,26 @@
         committed = replica.commit_index
         return committed >= max(leading.first_index, replica.log.voters_index)
 
+    def _answered_by_majority(self, leading: Leading, voters: VoterSet) -> bool:
+        """Tell whether a majority of a set, by the identities of their disks, answers.
+
+        A set counts from the moment it is in the leader's log. Without a majority that
+        answers, nobody could be elected any more: the leader's log is the longest, and
+        by its set there are not enough votes.
+        """
+        clock, settings = (
+            self._replica.surroundings.clock,
+            self._replica.surroundings.settings,
+        )
+        answering = [self._replica.me]
+        for progress in leading.peers.values():
+            heard_at = progress.heard_at
+            if progress.voter is None or heard_at is None:
+                continue
+            if clock.elapsed() - heard_at <= settings.silence:
+                answering.append(progress.voter)
+        return voters.majority_of(answering)
+
     def _caught_up(self, leading: Leading, name: str) -> bool:
         progress = leading.peers.get(name)
         if progress is None or progress.voter is None or not progress.durable:
--- a/tools/target_host.py
+++ b/tools/target_host.py
@@ -10,11 +10,11 @@
 
 from curio import Task, TaskGroup, run
 from msgspec.json import decode, encode
+from target import Target, make_target
 
 from lovagetray import Address, SystemClock
 from lovagetray._signals import SignalListener
 from lovagetray.wire import HttpRequest, HttpResponse, HttpServer, encode_failure
-from target import Target, make_target
 
 
 class TargetHost:
