A gateway ends when its part in the replicated log does

Ruled out: replication, which reached all other machines within 25 ms. Change: the process logs gateway_failed and ends with exit code 1; the platform starts it again and it serves once it is up to date. Test: 'A disk refuses to be written' (processes, a limit on file sizes) did not end before.

--- a/features/gateway_processes.feature
+++ b/features/gateway_processes.feature
@@ -52,6 +52,15 @@
     When each gateway in turn is killed and started with an empty disk
     Then the configuration reads back unchanged
 
+  Scenario: A disk refuses to be written
+    Guards against a gateway that goes on with an old configuration because its part in
+    the replicated log has ended (deploy/days/disks-twice.toml on stegasta, seed
+    266447130652: a request was handled by version 3, 7 s after version 5 was accepted).
+    Given 3 gateways, 4 shards and a service
+    When the disk of one gateway is full and a configuration is accepted
+    Then that gateway ends with exit code 1
+    And once its disk has room and it has started again it serves the new one
+
   Scenario: A replica drains
     Guards against work for a replica that said it leaves.
     Given 3 gateways, 4 shards and a service
--- a/features/steps/gateway_process_steps.py
+++ b/features/steps/gateway_process_steps.py
@@ -3,6 +3,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from http.client import HTTPConnection, HTTPException
 from json import dumps, loads
+from resource import RLIMIT_FSIZE, prlimit
 from shutil import rmtree
 from time import monotonic, sleep
 from typing import Any
@@ -251,6 +252,28 @@
         sleep(4)
 
 
+@when("the disk of one gateway is full and a configuration is accepted")
+def fill_disk(context: Context) -> None:
+    fleet = context.fleet
+    process = fleet.gateways[1].process
+    # No file may grow any more; the interpreter sees an error and not a signal.
+    prlimit(process.pid, RLIMIT_FSIZE, (0, 0))
+    newer = fleet.configuration(_SHARDS[:3], (_SERVICE,), Version=8)
+    context.document = newer
+    fleet.wait_until(lambda: fleet.put(newer).status == 200)
+
+
+@then("that gateway ends with exit code {code:d}")
+def check_end(context: Context, code: int) -> None:
+    assert context.fleet.wait_stopped(1, 10) == code
+
+
+@then("once its disk has room and it has started again it serves the new one")
+def check_restarted(context: Context) -> None:
+    context.fleet.start_gateway(1, disk=True, first_start=False)
+    context.fleet.wait_serving(3)
+
+
 @when("a replica says to one gateway that it drains")
 def drain(context: Context) -> None:
     fleet = context.fleet
--- a/src/lovagetray/_agreement_errors.py
+++ b/src/lovagetray/_agreement_errors.py
@@ -109,3 +109,14 @@
 
     def __str__(self) -> str:
         return f"the voters cannot change by {self.instance!r}: {self.reason}"
+
+
+@dataclass(frozen=True, slots=True)
+class LogStopped:
+    """An instance's part in the replicated log has ended, for example with its disk."""
+
+    code: ClassVar[str] = "log_stopped"
+    reason: str
+
+    def __str__(self) -> str:
+        return f"the replicated log has stopped: {self.reason}"
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -3,14 +3,15 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from random import Random, SystemRandom
-from signal import SIGHUP, SIGINT, SIGTERM
+from signal import SIGHUP, SIGINT, SIGTERM, Signals
 from typing import NamedTuple
 
-from curio import TaskGroup
+from curio import CurioError, Queue, TaskGroup
 from expression import Result
 from prometheus_client import generate_latest
 from structlog import get_logger
 
+from lovagetray._agreement_errors import LogStopped
 from lovagetray._clock import Clock
 from lovagetray._errors import Failure
 from lovagetray._gateway_settings import GatewaySettings
@@ -80,6 +81,8 @@
 _HEARTBEAT = timedelta(milliseconds=300)
 _SUSPICION = timedelta(milliseconds=950)
 _HOUSEKEEPING = timedelta(seconds=1)
+# Exit code of a gateway that can no longer take part in the replicated log.
+_FAILED = 1
 # A notice may be late by seconds; a dead replica is found by its connections before.
 _MISSED_NOTICES = 6
 _FORGET_REPLICA = timedelta(minutes=2)
@@ -246,9 +249,13 @@
         tree = SettingsState(self._violations)
         ledger = Ledger(self._violations, tree.tree.duration("/", "effects.retention"))
         state = ReplicatedState(tree, ledger, self._routing)
-        self._agreement = await open_gateway_log(
-            self._settings, self._clock, self._peers, self._violations, state
-        )
+        try:
+            self._agreement = await open_gateway_log(
+                self._settings, self._clock, self._peers, self._violations, state
+            )
+        except OSError as error:
+            _log.critical("gateway_failed", reason=str(LogStopped(str(error))))
+            return _FAILED
         _log.info(
             "gateway_started",
             instance=self._settings.name,
@@ -272,17 +279,38 @@
             seeds = {str(seed): seed for seed in self._settings.seeds}
             seeds.pop(self._settings.name, None)
             await group.spawn(self._peers.run, seeds, self._receive)
-            await group.spawn(self._agreement.run)
+            orders = Queue()
+            await group.spawn(self._take_part, orders)
+            await group.spawn(_receive_signals, signals, orders)
             await group.spawn(self._announcing.run)
             await group.spawn(channels.run, self._has_ended)
             await group.spawn(self._keep_house)
             for server in opened:
                 await group.spawn(server.run)
             await group.spawn(self._start_serving, front.run)
-            while await signals.receive() == SIGHUP:
-                await self._reload(reload())
-            await self._stop(front)
-        return 0
+            while True:
+                match await orders.get():
+                    case LogStopped() as failure:
+                        _log.critical("gateway_failed", reason=str(failure))
+                        return _FAILED
+                    case Signals.SIGHUP:
+                        await self._reload(reload())
+                    case _:
+                        await self._stop(front)
+                        return 0
+
+    async def _take_part(self, orders: Queue) -> None:
+        """Take part in the replicated log; tell when that ends.
+
+        Without it the gateway would go on with a configuration that is overtaken, so
+        the process ends and is started again.
+        """
+        try:
+            await self._agreement.run()
+            reason = "its tasks have ended"
+        except (OSError, CurioError, RuntimeError) as error:
+            reason = repr(error)
+        await orders.put(LogStopped(reason))
 
     async def _start_serving(self, serve: Callable[[], Awaitable[None]]) -> None:
         """Serve once the routing is current, so that no older one comes in force.
@@ -439,6 +467,11 @@
         return self._clock.elapsed() - heard_at
 
 
+async def _receive_signals(signals: SignalListener, orders: Queue) -> None:
+    while True:
+        await orders.put(await signals.receive())
+
+
 def _own_record(settings: GatewaySettings, random: Random) -> InstanceRecord:
     # Random, because wall clocks jump and two starts must never share an incarnation.
     incarnation = f"{random.getrandbits(64):016x}"
