One measure of a peer's silence; drop members that nothing reads

Read of the whole change: the gateway repeated the entry instance's look-up of a peer's silence, which is Members.silence now; Channels.opened_total, ReplicaBook.revision, ExtraBudget.left and Members.heard_at had no reader. Behaviour stays as it is.

--- a/src/lovagetray/entry/_instance.py
+++ b/src/lovagetray/entry/_instance.py
@@ -248,10 +248,7 @@
         return Heartbeat(self._members.myself)
 
     def _silence_of(self, name: str) -> timedelta:
-        heard_at = self._members.heard_at(name)
-        if heard_at is None:
-            return timedelta.max
-        return self._clock.elapsed() - heard_at
+        return self._members.silence(name, self._clock.elapsed())
 
 
 def _own_record(settings: ProcessSettings, clock: Clock) -> InstanceRecord:
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -461,10 +461,7 @@
         return Heartbeat(self._members.myself)
 
     def _silence_of(self, name: str) -> timedelta:
-        heard_at = self._members.heard_at(name)
-        if heard_at is None:
-            return timedelta.max
-        return self._clock.elapsed() - heard_at
+        return self._members.silence(name, self._clock.elapsed())
 
 
 async def _receive_signals(signals: SignalListener, orders: Queue) -> None:
--- a/src/lovagetray/queries/placing/_extra_budget.py
+++ b/src/lovagetray/queries/placing/_extra_budget.py
@@ -66,10 +66,6 @@
             window.add(now)
             window.count(now)
 
-    def left(self, service: str) -> float:
-        """Return how many second attempts may be sent now."""
-        return self._left(service, 1.0)
-
     def _left(self, service: str, share: float) -> float:
         now = self._clock.elapsed()
         requests = self._requests.get(service)
--- a/src/lovagetray/state/_members.py
+++ b/src/lovagetray/state/_members.py
@@ -91,10 +91,10 @@
         sighting = self._sightings.get(name)
         return None if sighting is None else sighting.record
 
-    def heard_at(self, name: str) -> timedelta | None:
-        """Return when an instance was last heard."""
+    def silence(self, name: str, now: timedelta) -> timedelta:
+        """Return how long an instance has been silent; the longest time if unheard."""
         sighting = self._sightings.get(name)
-        return None if sighting is None else sighting.heard_at
+        return timedelta.max if sighting is None else now - sighting.heard_at
 
     def sightings(self) -> tuple[Sighting, ...]:
         """Return what was last heard of every other instance."""
--- a/src/lovagetray/state/_replicas.py
+++ b/src/lovagetray/state/_replicas.py
@@ -37,12 +37,6 @@
         self._known: dict[str, KnownReplica] = {}
         self._owners: dict[Address, str] = {}
         self._services: dict[str, dict[str, KnownReplica]] = {}
-        self._revision = 0
-
-    @property
-    def revision(self) -> int:
-        """Rises whenever the set of usable replicas may have changed."""
-        return self._revision
 
     def accept(self, notice: ReplicaNotice, heard_at: timedelta) -> bool:
         """Record a notice; return whether it tells something new to other instances."""
@@ -121,7 +115,6 @@
         self._services.setdefault(notice.service, {})[notice.replica] = known
         if notice.state is not ReplicaState.LEFT:
             self._owners[notice.address] = notice.replica
-        self._revision += 1
 
     def _end(self, replica: str) -> None:
         known = self._known[replica]
--- a/src/lovagetray/targets/_channels.py
+++ b/src/lovagetray/targets/_channels.py
@@ -103,18 +103,12 @@
         self._group = group
         self._limits = limits
         self._replicas: dict[str, ReplicaChannels] = {}
-        self._opened = 0
 
     @property
     def open_count(self) -> int:
         """The connections that are open now."""
         return sum(len(replica.open) for replica in self._replicas.values())
 
-    @property
-    def opened_total(self) -> int:
-        """The connections that were opened since the start."""
-        return self._opened
-
     def room(self, notice: ReplicaNotice, now: timedelta) -> Room:
         """Return how an exchange with a replica could start now."""
         replica = self._replicas.get(notice.replica)
@@ -216,7 +210,6 @@
 
         channel = Channel(replica.notice, self._clock, self._decode, released, closed)
         replica.open.append(channel)
-        self._opened += 1
         channel.task = await self._group.spawn(channel.run, first)
 
     def _overdue(self, channel: Channel, now: timedelta, gone: bool) -> bool:
