Confirm a leader and a new voter set only by answers to current messages

Ruled out: the follower's own stamps, which carry the run of the process. Change: a reply to a message of an older term carries no sending time; a removal or addition waits up to one silence for answers to messages sent after the request.

--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -25,6 +25,18 @@
       | 30318 |
       | 30369 |
       | 30716 |
+      | 30497 |
+
+  Scenario Outline: An answer to a message of an earlier term proves no contact
+    Guards against a leader that restarted with its machine and takes the time of a
+    message that it sent before, by another clock, for one of now: it would count
+    itself as confirmed by a majority for as long as it had been up before.
+    When the replicated log runs with seed <seed> and every fault
+    Then the run finds no problem
+
+    Examples:
+      | seed  |
+      | 31252 |
 
   Scenario Outline: A randomised run in which the leader keeps three voters by itself
     Guards against a voter set that loses its majority or never settles. Seeds 8, 23 and
--- a/src/lovagetray/_log_entries.py
+++ b/src/lovagetray/_log_entries.py
@@ -177,14 +177,16 @@
     applied
         The highest index that the sender has applied.
     answers
-        The `sent_at` of the message that this replies to.
+        The `sent_at` of the message that this replies to; None if that message is of an
+        older term. A leader that restarted with its machine counts its own time from
+        anew, so the time of an earlier term says nothing to it.
     """
 
     term: int
     voter: Voter
     durable: bool
     applied: int
-    answers: timedelta
+    answers: timedelta | None
     stamp: Stamp
 
 
--- a/src/lovagetray/commands/agreement/_membership.py
+++ b/src/lovagetray/commands/agreement/_membership.py
@@ -175,24 +175,30 @@
         changed: Callable[[Leading, str], VoterSet | MembershipChangeRefused],
     ) -> Result[None, ChangeFailure]:
         replica = self._replica
-        async with replica.lock:
-            match replica.role:
-                case Leading() as leading:
-                    outcome = changed(leading, name)
-                case _:
-                    return Error(NotLeader(replica.leader or ""))
-            if isinstance(outcome, MembershipChangeRefused):
-                return Error(outcome)
-            if not self._answered_by_majority(leading, outcome):
+        clock = replica.surroundings.clock
+        asked_at = clock.elapsed()
+        answers = Queue()
+        while True:
+            async with replica.lock:
+                match replica.role:
+                    case Leading() as leading:
+                        outcome = changed(leading, name)
+                    case _:
+                        return Error(NotLeader(replica.leader or ""))
+                if isinstance(outcome, MembershipChangeRefused):
+                    return Error(outcome)
+                if not self._settled(leading):
+                    reason = "another change is not committed yet"
+                    return Error(MembershipChangeRefused(name, reason))
+                if self._answered_by_majority(leading, outcome, asked_at):
+                    index = replica.log.last_index + 1
+                    self._waiting[index] = answers
+                    await self._append(leading, outcome)
+                    break
+            if clock.elapsed() - asked_at > replica.surroundings.settings.silence:
                 reason = "most voters of the new set do not answer"
                 return Error(MembershipChangeRefused(name, reason))
-            if not self._settled(leading):
-                reason = "another change is not committed yet"
-                return Error(MembershipChangeRefused(name, reason))
-            answers = Queue()
-            index = replica.log.last_index + 1
-            self._waiting[index] = answers
-            await self._append(leading, outcome)
+            await clock.sleep(_STEP)
         limit = replica.surroundings.settings.propose_limit
         done = await replica.surroundings.clock.within(limit, answers.get())
         self._waiting.pop(index, None)
@@ -211,25 +217,20 @@
         committed = replica.commit_index
         return committed >= max(leading.first_index, replica.log.voters_index)
 
-    def _answered_by_majority(self, leading: Leading, voters: VoterSet) -> bool:
-        """Tell whether a majority of a set, by the identities of their disks, answers.
+    def _answered_by_majority(
+        self, leading: Leading, voters: VoterSet, since: timedelta
+    ) -> bool:
+        """Tell whether a majority of a set, by the identities of their disks, answered
+        a message that was sent at `since` or later.
 
         A set counts from the moment it is in the leader's log. Without a majority that
         answers, nobody could be elected any more: the leader's log is the longest, and
-        by its set there are not enough votes.
+        by its set there are not enough votes. An answer to an earlier message may come
+        from a disk that was lost since.
         """
-        clock, settings = (
-            self._replica.surroundings.clock,
-            self._replica.surroundings.settings,
-        )
-        answering = [self._replica.me]
-        for progress in leading.peers.values():
-            heard_at = progress.heard_at
-            if progress.voter is None or heard_at is None:
-                continue
-            if clock.elapsed() - heard_at <= settings.silence:
-                answering.append(progress.voter)
-        return voters.majority_of(answering)
+        contacted = leading.contacted
+        answering = [voter for voter, at in contacted.items() if at >= since]
+        return voters.majority_of([self._replica.me, *answering])
 
     def _caught_up(self, leading: Leading, name: str) -> bool:
         progress = leading.peers.get(name)
--- a/src/lovagetray/commands/agreement/_replica.py
+++ b/src/lovagetray/commands/agreement/_replica.py
@@ -245,7 +245,7 @@
             self.me,
             self.surroundings.durable,
             self._applied_index,
-            answered.sent_at,
+            answered.sent_at if answered.term == self.log.term else None,
             Stamp(self._run, self.surroundings.clock.elapsed()),
         )
 
--- a/src/lovagetray/commands/agreement/_replication.py
+++ b/src/lovagetray/commands/agreement/_replication.py
@@ -127,5 +127,6 @@
         now = self._replica.surroundings.clock.elapsed()
         progress.heard_at = now
         progress.stamps.append((now, beat.stamp))
-        contacted = leading.contacted.get(beat.voter, leading.since)
-        leading.contacted[beat.voter] = max(contacted, beat.answers)
+        if beat.answers is not None:
+            contacted = leading.contacted.get(beat.voter, leading.since)
+            leading.contacted[beat.voter] = max(contacted, beat.answers)
