Let a voter lead until its removal is committed

The entry was on v0 only, whose log was the longest left: it refused its vote to the others and did not stand itself, as its newest set did not name it. Ruled out: a lost majority; three of the four voters in force had their disks. Change: a voter may be elected while the entry that removes it is not known to be committed; as leader it commits the entry and hands over.

--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -27,6 +27,17 @@
       | 30716 |
       | 30497 |
 
+  Scenario Outline: A voter whose removal is not committed can still be elected
+    Guards against a group without a leader for ever: the leader, which lost its disk, and
+    the removed voter had the removal in their logs. The removed voter had the longest
+    log left, so it refused its vote to everybody else.
+    When the replicated log runs with seed <seed> and every fault
+    Then the run finds no problem
+
+    Examples:
+      | seed  |
+      | 31268 |
+
   Scenario Outline: An answer to a message of an earlier term proves no contact
     Guards against a leader that restarted with its machine and takes the time of a
     message that it sent before, by another clock, for one of now: it would count
--- a/src/lovagetray/commands/agreement/_election.py
+++ b/src/lovagetray/commands/agreement/_election.py
@@ -69,6 +69,9 @@
                 if replica.role is leading:
                     replica.stop_leading()
             return
+        if replica.me not in replica.log.voters.voters and replica.settled(leading):
+            await self._membership.hand_over()
+            return
         replica.refresh_live(leading)
         await self._membership.repair(leading)
 
@@ -98,9 +101,21 @@
         if not replica.surroundings.durable:
             return False
         if replica.log.voters.voters:
-            return replica.me in replica.log.voters.voters
+            return replica.me in replica.log.voters.voters or self._being_removed()
         return replica.surroundings.name in replica.surroundings.founders
 
+    def _being_removed(self) -> bool:
+        """Tell whether this instance votes until its removal is committed.
+
+        The removal may be in the logs of the lost leader and of this instance only.
+        Then its log is the longest, and without it nobody gets a majority of the old
+        set; it leads until the removal is committed and hands over.
+        """
+        replica, log = self._replica, self._replica.log
+        if log.voters_index <= replica.commit_index:
+            return False
+        return replica.me in log.voters_at(log.voters_index - 1).voters
+
     async def _campaign(self, transfer: bool) -> None:
         replica, log = self._replica, self._replica.log
         if not transfer:
--- a/src/lovagetray/commands/agreement/_membership.py
+++ b/src/lovagetray/commands/agreement/_membership.py
@@ -63,7 +63,7 @@
         target = replica.surroundings.settings.target_voters
         async with replica.lock:
             voters = replica.log.voters
-            if replica.role is not leading or not self._settled(leading):
+            if replica.role is not leading or not replica.settled(leading):
                 return
             for name, progress in leading.peers.items():
                 voter = progress.voter
@@ -187,7 +187,7 @@
                         return Error(NotLeader(replica.leader or ""))
                 if isinstance(outcome, MembershipChangeRefused):
                     return Error(outcome)
-                if not self._settled(leading):
+                if not replica.settled(leading):
                     reason = "another change is not committed yet"
                     return Error(MembershipChangeRefused(name, reason))
                 if self._answered_by_majority(leading, outcome, asked_at):
@@ -207,16 +207,6 @@
                 return Ok(None)
         return Error(ProposalUnconfirmed(f"voter {name}"))
 
-    def _settled(self, leading: Leading) -> bool:
-        """Tell whether the last change and an entry of this term are committed.
-
-        Without an entry of this term, a change of an older leader could still replace
-        the voter set that this one counts with.
-        """
-        replica = self._replica
-        committed = replica.commit_index
-        return committed >= max(leading.first_index, replica.log.voters_index)
-
     def _answered_by_majority(
         self, leading: Leading, voters: VoterSet, since: timedelta
     ) -> bool:
--- a/src/lovagetray/commands/agreement/_replica.py
+++ b/src/lovagetray/commands/agreement/_replica.py
@@ -370,6 +370,14 @@
         """
         return self.log.term_at(index) == self.log.term
 
+    def settled(self, leading: Leading) -> bool:
+        """Tell whether the last voter set and an entry of this term are committed.
+
+        Without an entry of this term, a change of an older leader could still replace
+        the voter set that this one counts with.
+        """
+        return self._commit_index >= max(leading.first_index, self.log.voters_index)
+
     def majority_index(self, leading: Leading) -> int:
         """Return the last index that is synced at a majority of voters."""
         voters: Iterable[Voter] = self.log.voters.voters
