Count a start's wait before its first vote from when the process began

Cause: a voter may not vote for 0.4 s after a start, because its last run may have supported a leader's reads; the wait and the election time began when the log was opened, after 0.35 to 0.8 s of loading. Ruled out: shorter election times, which would end the reads of a leader whose followers sync slowly (125 ms). Change: the process notes the steady clock before it loads the program; the log counts from there. The fake takes the time of a start into account and has a copy that believes to be 10 s older, which the runs find (stale read).

--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -62,6 +62,24 @@
       | 23   |
       | 148  |
 
+  Scenario Outline: A start counts its election time from when the process began
+    Guards against a vote within the time for which the last run may have supported a
+    leader's reads.
+    When the replicated log runs with seed <seed> and starts of 350 ms
+    Then the run finds no problem
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  Scenario: A leader soon after a common start
+    Guards against an election time that begins only once the program is loaded: after a
+    loss of power nobody is served before there is a leader.
+    When three voters start together 20 times, in 350 ms each
+    Then half of the times one leads within the longest election time of their begin
+
   Scenario Outline: A broken rule is found
     When the replicated log runs with <broken> until a problem is found
     Then the run reports "<problem>"
@@ -74,6 +92,7 @@
       | a lease that outlasts its time                    | read index                   |
       | a lease that is confirmed without a majority      | holds a lease                |
       | a start that trusts any leader                    | claims index                 |
+      | a start that takes itself for an older one        | read index                   |
 
   Scenario: A torn tail of the log is cut off
     Guards against a crash during a write that makes the instance unusable.
--- a/features/fakes/agreement_broken.py
+++ b/features/fakes/agreement_broken.py
@@ -92,6 +92,10 @@
         Plan(("cut_leader", "heal", "noise"), pause=3.0),
         Parts(replica_type=OverlongLease),
     ),
+    "a start that takes itself for an older one": (
+        Plan(("crash", "crash", "crash", "cut_leader", "heal"), pause=0.5, voters=(3,)),
+        Parts(start=timedelta(0), misjudged_start=timedelta(seconds=10)),
+    ),
     "a start that trusts any leader": (
         Plan(("crash", "crash", "cut_leader", "heal"), pause=0.8),
         Parts(replica_type=TrustsAnyLeader),
--- a/features/fakes/agreement_cluster.py
+++ b/features/fakes/agreement_cluster.py
@@ -43,6 +43,10 @@
         chunk_bytes=150,
         retention=timedelta(seconds=20),
     )
+    # How long a process takes from its begin until it opens its log.
+    start: timedelta | None = None
+    # How much earlier than in truth a process believes to have begun.
+    misjudged_start: timedelta = timedelta(0)
 
 
 class Instance:
@@ -108,14 +112,20 @@
 
     async def _live(self, session: Session) -> None:
         cluster = self._cluster
+        clock = HostClock(self.host)
+        began_at = None
+        if cluster.parts.start is not None:
+            began_at = clock.elapsed() - cluster.parts.misjudged_start
+            await clock.sleep(cluster.parts.start)
         surroundings = Surroundings(
             self.name,
             cluster.founders,
-            HostClock(self.host),
+            clock,
             SessionLink(cluster.network, self.name, session),
             cluster.parts.settings,
             self.violations,
             Random(self.host.random.random()),
+            began_at,
         )
         disk = SessionDisk(self.store, session) if self.durable else None
         if disk is not None and self.damaged:
--- a/features/fakes/agreement_runs.py
+++ b/features/fakes/agreement_runs.py
@@ -1,6 +1,7 @@
 """Randomised runs of the replicated log, each reproducible from its seed."""
 
 import time
+from datetime import timedelta
 from random import Random
 from typing import NamedTuple
 
@@ -65,8 +66,14 @@
     return RunReport(seed, cluster.find_problems(), counts)
 
 
-def run_gateway_log(seed: int) -> RunReport:
-    """Run a cluster whose leader keeps three voters by itself."""
+def run_gateway_log(seed: int, start: timedelta | None = None) -> RunReport:
+    """Run a cluster whose leader keeps three voters by itself.
+
+    Parameters
+    ----------
+    start
+        How long a process takes until it opens its log.
+    """
     small = Parts().settings
     settings = agreement_settings(losses=1)._replace(
         snapshot_every=small.snapshot_every,
@@ -75,7 +82,38 @@
         retention=small.retention,
     )
     plan = EVERYTHING._replace(voters=(3,), learners=(1, 2))
-    return run_seed(seed, plan, Parts(settings=settings))
+    return run_seed(seed, plan, Parts(settings=settings, start=start))
+
+
+def time_to_leader(seed: int, start: timedelta) -> timedelta:
+    """Return the time from a common begin of three voters until one leads.
+
+    Parameters
+    ----------
+    start
+        How long a process takes until it opens its log.
+    """
+    parts = Parts(settings=agreement_settings(losses=1), start=start)
+    cluster = Cluster(Random(seed), parts)
+    taken: list[float] = []
+
+    async def restart() -> None:
+        while cluster.leader() is None:
+            await sleep(0.01)
+        for instance in cluster.instances.values():
+            await instance.stop()
+        began_at = time.monotonic()
+        for instance in cluster.instances.values():
+            await instance.start()
+        while cluster.leader() is None:
+            await sleep(0.01)
+        taken.append(time.monotonic() - began_at)
+
+    async def run() -> None:
+        await cluster.run(3, 0, restart)
+
+    run_virtual(run)
+    return timedelta(seconds=taken[0])
 
 
 class _Run:
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from datetime import datetime, timedelta, timezone
 from random import Random
+from statistics import median
 from typing import Any
 
 from behave import given, then, when
@@ -12,7 +13,7 @@
 from fakes.agreement_broken import BROKEN
 from fakes.agreement_cluster import Cluster, Instance, Parts
 from fakes.agreement_parts import Store
-from fakes.agreement_runs import run_gateway_log, run_seed
+from fakes.agreement_runs import run_gateway_log, run_seed, time_to_leader
 from fakes.virtual_time import VirtualKernel
 
 from lovagetray._errors import (
@@ -25,6 +26,7 @@
 )
 from lovagetray._log_entries import Entry, EntryKind, Proposal
 from lovagetray.commands.agreement import DurableLog, FolderDisk
+from lovagetray.gateway import agreement_settings
 from lovagetray.queries.agreement import status_of
 
 _AT = datetime(2026, 1, 1, tzinfo=timezone.utc)
@@ -42,6 +44,23 @@
     context.report = run_gateway_log(seed)
 
 
+@when("the replicated log runs with seed {seed:d} and starts of {milliseconds:d} ms")
+def run_slow_starts(context: Context, seed: int, milliseconds: int) -> None:
+    context.report = run_gateway_log(seed, timedelta(milliseconds=milliseconds))
+
+
+@when("three voters start together {count:d} times, in {milliseconds:d} ms each")
+def start_together(context: Context, count: int, milliseconds: int) -> None:
+    start = timedelta(milliseconds=milliseconds)
+    context.times = sorted(time_to_leader(seed, start) for seed in range(count))
+
+
+@then("half of the times one leads within the longest election time of their begin")
+def check_time_to_leader(context: Context) -> None:
+    longest = agreement_settings(losses=1).longest_election
+    assert median(context.times) <= longest, context.times
+
+
 @then("the run finds no problem")
 def check_no_problem(context: Context) -> None:
     assert not context.report.problems, context.report
--- a/src/lovagetray/commands/agreement/_election.py
+++ b/src/lovagetray/commands/agreement/_election.py
@@ -32,6 +32,7 @@
         self._takeover = Event()
         self._takeover_term = 0
         self._refused = False
+        self._began_at = replica.surroundings.began_at
 
     async def run(self) -> None:
         """Watch the leader and start an election when it is silent."""
@@ -82,7 +83,9 @@
         timeout = spread * replica.surroundings.random.random()
         if not (self._refused and settings.retry_refused):
             timeout += settings.shortest_election
-        waited_since = clock.elapsed()
+        # The first election time runs from when the process began.
+        waited_since = self._began_at or clock.elapsed()
+        self._began_at = None
         while not self._takeover.is_set():
             silent_since = max(replica.heard_at, waited_since)
             left = silent_since + timeout - clock.elapsed()
--- a/src/lovagetray/commands/agreement/_replica.py
+++ b/src/lovagetray/commands/agreement/_replica.py
@@ -46,6 +46,9 @@
         The instances that form the first voter set, all with empty disks.
     random
         Source of election times and identities.
+    began_at
+        When the process began, by `clock`; its last run supports no leader since then.
+        None if unknown: the moment at which the log is opened counts.
     durable
         Whether this instance has a disk and so may vote; `Agreement.open` sets it.
     """
@@ -57,6 +60,7 @@
     settings: AgreementSettings
     violations: Violations
     random: Random
+    began_at: timedelta | None = None
     durable: bool = False
 
 
@@ -81,8 +85,10 @@
         self._newest_beat = (0, timedelta.min)
         self._proof: CommitProof | None = None
         self._signals: dict[str, Event] = {}
-        # Nobody votes just after a start, as it may have heard a leader just before.
-        self._heard_at = surroundings.clock.elapsed()
+        # Nobody votes just after a start, as the last run may have heard a leader until
+        # the process began. Loading the program takes most of that time.
+        began_at = surroundings.began_at
+        self._heard_at = surroundings.clock.elapsed() if began_at is None else began_at
 
     @property
     def me(self) -> Voter:
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -137,11 +137,22 @@
 
 
 class Gateway:
-    """A gateway instance; `run` serves until the process is told to stop."""
+    """A gateway instance; `run` serves until the process is told to stop.
+
+    Parameters
+    ----------
+    began_at
+        When the process began, by `clock`; None if unknown.
+    """
 
     def __init__(
-        self, settings: GatewaySettings, formats: GatewayFormats, clock: Clock
+        self,
+        settings: GatewaySettings,
+        formats: GatewayFormats,
+        clock: Clock,
+        began_at: timedelta | None = None,
     ) -> None:
+        self._began_at = began_at
         self._settings = settings
         self._formats = formats
         self._clock = clock
@@ -251,7 +262,12 @@
         state = ReplicatedState(tree, ledger, self._routing)
         try:
             self._agreement = await open_gateway_log(
-                self._settings, self._clock, self._peers, self._violations, state
+                self._settings,
+                self._clock,
+                self._peers,
+                self._violations,
+                state,
+                self._began_at,
             )
         except OSError as error:
             _log.critical("gateway_failed", reason=str(LogStopped(str(error))))
--- a/src/lovagetray/gateway/_gateway_log.py
+++ b/src/lovagetray/gateway/_gateway_log.py
@@ -47,6 +47,7 @@
     link: PeerLink,
     violations: Violations,
     machine: StateMachine,
+    began_at: timedelta | None,
 ) -> Agreement:
     """Return the gateway's part in the replicated log.
 
@@ -59,6 +60,7 @@
         founders=seeds if settings.first_start else (),
         peers=tuple(name for name in seeds if name != settings.name),
         data_folder=settings.data_folder,
+        began_at=began_at,
     )
     agreed = agreement_settings(settings.losses)
     return await open_log(owner, agreed, clock, link, violations, machine)
--- a/src/lovagetray/platform/__main__.py
+++ b/src/lovagetray/platform/__main__.py
@@ -3,14 +3,18 @@
 from gc import disable, enable, freeze
 from signal import SIG_IGN, SIGHUP, signal
 from sys import exit
+from time import monotonic
 
 if __name__ == "__main__":
+    began_at = monotonic()
     # A reload that comes before the settings are read changes nothing.
     signal(SIGHUP, SIG_IGN)
     # What a start loads never becomes garbage. A collection of it takes 20 to 40 ms.
     disable()
+    from datetime import timedelta
+
     from lovagetray.platform.run import run_gateway
 
     freeze()
     enable()
-    exit(run_gateway())
+    exit(run_gateway(began_at=timedelta(seconds=began_at)))
--- a/src/lovagetray/platform/run.py
+++ b/src/lovagetray/platform/run.py
@@ -30,13 +30,15 @@
 )
 
 
-def run_gateway(path: Path | None = None) -> int:
+def run_gateway(path: Path | None = None, began_at: timedelta | None = None) -> int:
     """Run a gateway until it is told to stop; return the exit code.
 
     Parameters
     ----------
     path
         The settings file; the environment names it by default.
+    began_at
+        When the process began, by the steady clock; None if unknown.
     """
     settings_path = path or settings_file()
     configure_logging(stream=LogStream(stdout.fileno()))
@@ -47,7 +49,7 @@
             print(failure, file=stderr)
             return _INVALID_SETTINGS
     formats = GatewayFormats(decode_document, replica_encoder, decode_reply)
-    gateway = Gateway(settings, formats, SystemClock())
+    gateway = Gateway(settings, formats, SystemClock(), began_at)
 
     def reload() -> GatewaySettings | None:
         return read_settings(settings_path).default_value(None)
--- a/src/lovagetray/replicated/_log.py
+++ b/src/lovagetray/replicated/_log.py
@@ -37,12 +37,15 @@
         Instances to replicate to from the start.
     data_folder
         None for an instance without a disk.
+    began_at
+        When the process began, by the clock of the log; None if unknown.
     """
 
     name: str
     founders: tuple[str, ...]
     peers: tuple[str, ...]
     data_folder: Path | None
+    began_at: timedelta | None = None
 
 
 async def open_agreement(
@@ -80,6 +83,7 @@
         settings=settings,
         violations=violations,
         random=SystemRandom(),
+        began_at=owner.began_at,
     )
     folder = owner.data_folder
     while True:
