--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -278,6 +278,7 @@
             data_centre=self._settings.data_centre,
             disk=self._settings.data_folder is not None,
             first_start=self._settings.first_start,
+            loaded_ms=self._loading_time(),
         )
         async with TaskGroup(wait=None) as group:
             channels = Channels(
@@ -313,6 +314,12 @@
                         await self._stop(front)
                         return 0
 
+    def _loading_time(self) -> float | None:
+        """Return the milliseconds since the process began, if known."""
+        if self._began_at is None:
+            return None
+        return (self._clock.elapsed() - self._began_at) / timedelta(milliseconds=1)
+
     def _first_peers(self) -> dict[str, Address]:
         """Return the seeds and the voters that the log on the disk names.
 
