Send repeated announcements in short, fewer log heartbeats to learners

By message sizes about half is control: each gateway sent every unchanged notice (about 120 B each) to all others every second, and the leader a message of 343 B to each instance ten times a second. Ruled out: the sub-requests; replicas in the same data centre come first already. Change: repeated notices are sent every two seconds with replica, start, sequence and a checksum of the rest; a receiver that missed a change leaves its sequence as it is, so that the digest brings the change. Learners get a heartbeat every 500 ms. Tests: replica_book (a repeated notice, a missed one), announcing.

--- a/features/replica_book.feature
+++ b/features/replica_book.feature
@@ -6,6 +6,23 @@
     When "r1 ready born 10 number 4" arrives
     Then no replica is usable
 
+  Scenario: A notice is repeated
+    Guards against a replica that counts as silent though it repeats its notice to
+    another instance.
+    Given the notice "r1 ready born 10 number 5"
+    When 5 seconds pass
+    And another instance tells that "r1 ready born 10 number 9" was repeated
+    And 5 seconds pass
+    Then r1 is usable
+
+  Scenario: A notice that was missed here is repeated
+    Guards against a draining replica that is taken for the ready one that it was: the
+    short message must not raise the sequence, or no digest would bring the change.
+    Given the notice "r1 ready born 10 number 5"
+    When another instance tells that "r1 draining born 10 number 9" was repeated
+    And "r1 draining born 10 number 8" arrives
+    Then no replica is usable
+
   Scenario: A replica restarts under its id
     Guards against a new run whose counts start anew and seem old.
     Given the notices "r1 ready born 10 number 500" and "r1 ready born 20 number 1"
--- a/features/steps/replica_book_steps.py
+++ b/features/steps/replica_book_steps.py
@@ -43,6 +43,16 @@
     context.book.forget(context.now)
 
 
+@when('another instance tells that "{one}" was repeated')
+def repeat(context: Context, one: str) -> None:
+    theirs = ReplicaBook(_LIFETIME, _MEMORY)
+    told = _parse(one)
+    theirs.accept(told, context.now)
+    repeated = theirs.repetition(told.replica)
+    assert repeated is not None
+    context.book.repeat(repeated, context.now)
+
+
 @when('another instance holds "{one}" and "{other}"')
 def compare(context: Context, one: str, other: str) -> None:
     runs = [ReplicaRun(held.replica, held.order) for held in map(_parse, (one, other))]
--- a/src/lovagetray/_peer_messages.py
+++ b/src/lovagetray/_peer_messages.py
@@ -12,7 +12,7 @@
     Proposal,
     Voter,
 )
-from lovagetray._routing_types import ReplicaNotice, ReplicaRun
+from lovagetray._routing_types import RepeatedNotice, ReplicaNotice, ReplicaRun
 from lovagetray._types import (
     Announcement,
     ExecuteReply,
@@ -268,6 +268,12 @@
     items: tuple[AgedNotice, ...]
 
 
+class ReplicasHeard(Struct, frozen=True):
+    """Replicas that repeated a notice which was sent in full before."""
+
+    notices: tuple[RepeatedNotice, ...]
+
+
 class ReplicasLeft(Struct, frozen=True):
     """Replicas that said they are gone; the sender waits for a confirmation."""
 
@@ -307,6 +313,7 @@
     | ReleasedReplicas
     | Stopped
     | ReplicaNotices
+    | ReplicasHeard
     | ReplicasLeft
     | NoticesSeen
     | NoticeDigest
--- a/src/lovagetray/_routing_types.py
+++ b/src/lovagetray/_routing_types.py
@@ -165,6 +165,22 @@
     order: tuple[int, bool, int]
 
 
+class RepeatedNotice(NamedTuple):
+    """A notice that a replica repeated.
+
+    Parameters
+    ----------
+    substance
+        Checksum of the notice without its sequence: a receiver that missed a change
+        must not take the repetition for one of what it holds.
+    """
+
+    replica: str
+    born: int
+    sequence: int
+    substance: int
+
+
 class CallerRequest(NamedTuple):
     """A request of a caller, complete.
 
--- a/src/lovagetray/commands/agreement/_replication.py
+++ b/src/lovagetray/commands/agreement/_replication.py
@@ -30,18 +30,20 @@
                     message = self._next_message(leading, name)
                     await surroundings.link.send(name, message)
                     await surroundings.clock.within(
-                        self._heartbeat(leading), signal.wait()
+                        self._heartbeat(leading, name), signal.wait()
                     )
                 case _:
                     await signal.wait()
             signal.clear()
 
-    def _heartbeat(self, leading: Leading) -> timedelta:
+    def _heartbeat(self, leading: Leading, name: str) -> timedelta:
         surroundings = self._replica.surroundings
         settings = surroundings.settings
         if surroundings.clock.elapsed() - leading.since < settings.early_time:
             return settings.early_heartbeat
-        return settings.heartbeat
+        if name in self._replica.log.voters.names:
+            return settings.heartbeat
+        return settings.learner_heartbeat or settings.heartbeat
 
     def _next_message(
         self, leading: Leading, name: str
--- a/src/lovagetray/commands/agreement/_settings.py
+++ b/src/lovagetray/commands/agreement/_settings.py
@@ -40,6 +40,9 @@
         leaves the set to the operator.
     replace_silent
         A voter that was silent for this long is replaced if a learner can vote.
+    learner_heartbeat
+        How often an instance that does not vote gets a heartbeat; entries and commit
+        indexes are sent to it at once all the same. None: as often as a voter.
     early_heartbeat, early_time
         How often a new leader sends heartbeats, and for how long. Instances that have
         just started serve once a heartbeat confirms their answer to an earlier one.
@@ -62,6 +65,7 @@
     snapshot_every: int = 1000
     target_voters: int | None = None
     replace_silent: timedelta = timedelta(seconds=2)
+    learner_heartbeat: timedelta | None = None
     early_heartbeat: timedelta = timedelta(milliseconds=20)
     early_time: timedelta = timedelta(0)
     batch_bytes: int = 256 * 1024
--- a/src/lovagetray/commands/announcing/_announce.py
+++ b/src/lovagetray/commands/announcing/_announce.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from datetime import timedelta
+from itertools import count
 from random import Random
 from typing import Protocol
 
@@ -16,6 +17,7 @@
     NoticesSeen,
     PeerMessage,
     ReplicaNotices,
+    ReplicasHeard,
     ReplicasLeft,
 )
 from lovagetray._routing_errors import NoticeUnconfirmed
@@ -24,11 +26,16 @@
 
 _log = get_logger()
 _ROUND = timedelta(seconds=1)
+# A replica counts as gone after six notices, so repeated ones may be passed on late;
+# every other round halves the messages among instances.
+_ROUNDS_OF_REPEATS = 2
 # A replica waits one second for an acknowledgement.
 _CONFIRM_LIMIT = timedelta(milliseconds=600)
 _NO_AGE = timedelta(0)
 
-AnnouncingMessage = ReplicaNotices | ReplicasLeft | NoticesSeen | NoticeDigest
+AnnouncingMessage = (
+    ReplicaNotices | ReplicasHeard | ReplicasLeft | NoticesSeen | NoticeDigest
+)
 
 
 class NoticeLink(Protocol):
@@ -53,8 +60,8 @@
 class Announcing:
     """Keeps the book of replicas the same on all instances.
 
-    A notice that changes anything is sent to every instance at once. Unchanged notices
-    are sent together each second, and a digest to one instance repairs what was lost.
+    A notice that changes anything is sent to every instance at once. Repeated ones are
+    sent together, in short, and a digest to one instance repairs what was lost.
     """
 
     def __init__(
@@ -72,14 +79,14 @@
         self._random = random
         self._number = 0
         self._confirmations: dict[int, _Confirmation] = {}
-        self._heard: dict[str, ReplicaNotice] = {}
+        self._repeated: set[str] = set()
 
     async def accept(self, notice: ReplicaNotice) -> Result[None, NoticeUnconfirmed]:
         """Take a replica's own notice; a leaving one needs a confirmation."""
         held = self._book.find(notice.replica)
         changed = self._book.accept(notice, self._clock.elapsed())
         if not changed:
-            self._heard[notice.replica] = notice
+            self._repeated.add(notice.replica)
             if held is None or notice.state is not ReplicaState.DRAINING:
                 return Ok(None)
         else:
@@ -116,6 +123,9 @@
                     self._book.accept(item.notice, now - item.age)
                 if number:
                     await self._link.send(sender, NoticesSeen(number))
+            case ReplicasHeard(notices=notices):
+                for notice in notices:
+                    self._book.repeat(notice, now)
             case ReplicasLeft(number=number, replicas=replicas):
                 for replica in replicas:
                     self._book.leave(replica, now)
@@ -135,13 +145,14 @@
         await self._link.send(name, NoticeDigest(tuple(self._book.runs())))
 
     async def run(self) -> None:
-        """Pass on what was heard and compare with one instance, each second."""
-        while True:
+        """Pass on what was heard and compare with one instance, each round."""
+        for number in count():
             await self._clock.sleep(_ROUND)
-            heard, self._heard = self._heard, {}
-            if heard:
-                items = tuple(AgedNotice(notice, _NO_AGE) for notice in heard.values())
-                await self._link.broadcast(ReplicaNotices(0, items))
+            if self._repeated and number % _ROUNDS_OF_REPEATS == 0:
+                notices = map(self._book.repetition, sorted(self._repeated))
+                self._repeated.clear()
+                known = tuple(notice for notice in notices if notice is not None)
+                await self._link.broadcast(ReplicasHeard(known))
             now = self._clock.elapsed()
             self._book.forget(now)
             live = self._live_peers(now)
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -23,6 +23,7 @@
     NoticeDigest,
     NoticesSeen,
     ReplicaNotices,
+    ReplicasHeard,
     ReplicasLeft,
 )
 from lovagetray._routing_errors import (
@@ -412,6 +413,7 @@
                 await self._agreement.handle(sender, message)
             case (
                 ReplicaNotices()
+                | ReplicasHeard()
                 | ReplicasLeft()
                 | NoticesSeen()
                 | NoticeDigest() as message
--- a/src/lovagetray/gateway/_gateway_log.py
+++ b/src/lovagetray/gateway/_gateway_log.py
@@ -19,6 +19,7 @@
 # Instances are at most 2 ms apart and a slow disk syncs in 125 ms. After a loss of
 # power nobody is served until there is a leader, so elections are short.
 _HEARTBEAT = timedelta(milliseconds=100)
+_LEARNER_HEARTBEAT = timedelta(milliseconds=500)
 _SHORTEST_ELECTION = timedelta(milliseconds=250)
 _LONGEST_ELECTION = timedelta(milliseconds=500)
 # Two round trips and two syncs of a disk of usual speed.
@@ -35,6 +36,7 @@
         target_voters=2 * losses + 1,
         replace_silent=_REPLACE_SILENT,
         heartbeat=_HEARTBEAT,
+        learner_heartbeat=_LEARNER_HEARTBEAT,
         shortest_election=_SHORTEST_ELECTION,
         longest_election=_LONGEST_ELECTION,
         ballot=_BALLOT,
--- a/src/lovagetray/state/_replicas.py
+++ b/src/lovagetray/state/_replicas.py
@@ -3,11 +3,18 @@
 from collections.abc import Iterable, Iterator
 from datetime import timedelta
 from typing import NamedTuple
-
-from lovagetray._routing_types import ReplicaNotice, ReplicaRun, ReplicaState
+from zlib import crc32
+
+from lovagetray._routing_types import (
+    RepeatedNotice,
+    ReplicaNotice,
+    ReplicaRun,
+    ReplicaState,
+)
 from lovagetray._types import Address
 
 _NOTHING = (-1, False, -1)
+_WARMING_UP = timedelta(milliseconds=1)
 
 
 class KnownReplica(NamedTuple):
@@ -50,6 +57,26 @@
         self._store(notice, heard_at)
         return changed
 
+    def repetition(self, replica: str) -> RepeatedNotice | None:
+        """Return what to tell instances that hold the notice of a replica."""
+        held = self._known.get(replica)
+        if held is None:
+            return None
+        notice = held.notice
+        return RepeatedNotice(replica, notice.born, notice.sequence, _checksum(notice))
+
+    def repeat(self, repeated: RepeatedNotice, heard_at: timedelta) -> None:
+        """Record that a replica repeated the notice that is held here.
+
+        Anything else than what is held is left to the next digest.
+        """
+        held = self._known.get(repeated.replica)
+        if held is None or repeated.sequence <= held.notice.sequence:
+            return
+        notice = held.notice
+        if (repeated.born, repeated.substance) == (notice.born, _checksum(notice)):
+            self._store(notice._replace(sequence=repeated.sequence), heard_at)
+
     def leave(self, replica: str, heard_at: timedelta) -> ReplicaNotice | None:
         """Mark a replica as gone; return its notice, or None if it is unknown."""
         held = self._known.get(replica)
@@ -129,6 +156,14 @@
             del self._owners[notice.address]
 
 
+def _checksum(notice: ReplicaNotice) -> int:
+    return crc32(repr(_substance(notice)).encode())
+
+
 def _substance(notice: ReplicaNotice) -> ReplicaNotice:
-    """Return what other instances must know at once."""
-    return notice._replace(sequence=0, warm_up=timedelta(0))
+    """Return what other instances must know at once.
+
+    Of the warm-up they need to know whether it is over, not how long it lasts.
+    """
+    warm_up = _WARMING_UP if notice.warm_up else timedelta(0)
+    return notice._replace(sequence=0, warm_up=warm_up)
