Scale messages and connections for 70 instances

Ruled out: the log (138 messages a second to learners). Change: with more than 12 instances the interval of heartbeats grows in proportion, so that each instance hears as many a second as with 12; who is live comes from the leader's list while that is fresh. A meeting is no longer broadcast; digests are asked for at most five times a second; repeated notices go out every five seconds at most and a notice counts for ten intervals. Where a replica takes fewer connections than there are instances, an instance keeps one to one replica of each service (its own data centre first, a hash otherwise) and opens others on demand.

--- a/features/placing.feature
+++ b/features/placing.feature
@@ -50,3 +50,11 @@
     Given 1 instances that share a ratio of 0.2 and 0 fixed attempts
     When 100 requests were hedged as often as allowed
     Then a failed request still gets a second attempt
+
+  Scenario: More instances than a replica takes connections
+    Answers 70 instances in 4 data centres with 3 replicas of 67 connections in 3 of them.
+    Given 70 instances in 4 data centres and 3 replicas of 67 connections in 3 of them
+    When each instance opens its usual connections
+    Then each replica has at most half of its connections in use
+    And no instance is without a replica
+    And an instance in a data centre with a replica uses that one
--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -16,7 +16,7 @@
     ReplicaReply,
     Route,
 )
-from lovagetray.queries.placing import ExtraBudget, Placement
+from lovagetray.queries.placing import ExtraBudget, Placement, connection_limits
 from lovagetray.state import ReplicaBook
 from lovagetray.targets import Room
 
@@ -190,3 +190,57 @@
     context.clock.time = max(context.clock.time, ends)
     latency = context.placement.ended(replica, number, context.clock.time)
     context.placement.answered(_ROUTE, replica, _REPLY, latency, context.clock.time)
+
+
+@given(
+    "{count:d} instances in 4 data centres and 3 replicas of {limit:d} connections "
+    "in 3 of them"
+)
+def many_instances(context: Context, count: int, limit: int) -> None:
+    context.limit = limit
+    context.instances = [
+        (f"10.{number % 4}.0.{number}:7000", f"d{number % 4}")
+        for number in range(count)
+    ]
+    context.replicas = [
+        notice(f"r{number}")._replace(data_centre=f"d{number}") for number in range(3)
+    ]
+
+
+@when("each instance opens its usual connections")
+def open_usual(context: Context) -> None:
+    context.opened = {
+        name: [
+            replica
+            for replica in context.replicas
+            for _ in range(
+                connection_limits(
+                    replica,
+                    context.replicas,
+                    context.limit,
+                    len(context.instances),
+                    name,
+                    data_centre,
+                ).usual
+            )
+        ]
+        for name, data_centre in context.instances
+    }
+
+
+@then("each replica has at most half of its connections in use")
+def check_half(context: Context) -> None:
+    used = Counter(one.replica for opened in context.opened.values() for one in opened)
+    assert max(used.values()) <= context.limit / 2, used
+
+
+@then("no instance is without a replica")
+def check_all_have_one(context: Context) -> None:
+    assert all(context.opened.values()), context.opened
+
+
+@then("an instance in a data centre with a replica uses that one")
+def check_local(context: Context) -> None:
+    for name, data_centre in context.instances:
+        opened = {one.data_centre for one in context.opened[name]}
+        assert data_centre == "d3" or opened == {data_centre}, (name, opened)
--- a/src/lovagetray/commands/announcing/_announce.py
+++ b/src/lovagetray/commands/announcing/_announce.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 from itertools import count
+from math import ceil
 from random import Random
 from typing import Protocol
 
@@ -26,9 +27,13 @@
 
 _log = get_logger()
 _ROUND = timedelta(seconds=1)
-# A replica counts as gone after six notices, so repeated ones may be passed on late;
-# every other round halves the messages among instances.
+# Repeated notices may be passed on late, every other round or, with many instances,
+# still less often, down to this limit.
 _ROUNDS_OF_REPEATS = 2
+_MOST_ROUNDS_OF_REPEATS = 5
+# What is known elsewhere is asked for at most this often: an answer may hold all
+# replicas, and at a common start every instance meets every other one.
+_ASK_PAUSE = timedelta(milliseconds=200)
 # A replica waits one second for an acknowledgement.
 _CONFIRM_LIMIT = timedelta(milliseconds=600)
 _NO_AGE = timedelta(0)
@@ -80,6 +85,7 @@
         self._number = 0
         self._confirmations: dict[int, _Confirmation] = {}
         self._repeated: set[str] = set()
+        self._asked_at: timedelta | None = None
 
     async def accept(self, notice: ReplicaNotice) -> Result[None, NoticeUnconfirmed]:
         """Take a replica's own notice; a leaving one needs a confirmation."""
@@ -141,14 +147,19 @@
                     await self._link.send(sender, ReplicaNotices(0, newer))
 
     async def ask(self, name: str) -> None:
-        """Ask an instance for everything that is not known here."""
+        """Ask an instance for what is not known here, unless one was asked just now."""
+        now = self._clock.elapsed()
+        if self._asked_at is not None and now - self._asked_at < _ASK_PAUSE:
+            return
+        self._asked_at = now
         await self._link.send(name, NoticeDigest(tuple(self._book.runs())))
 
     async def run(self) -> None:
         """Pass on what was heard and compare with one instance, each round."""
         for number in count():
             await self._clock.sleep(_ROUND)
-            if self._repeated and number % _ROUNDS_OF_REPEATS == 0:
+            rounds = _ROUNDS_OF_REPEATS * ceil(self._members.pace)
+            if self._repeated and number % min(rounds, _MOST_ROUNDS_OF_REPEATS) == 0:
                 notices = map(self._book.repetition, sorted(self._repeated))
                 self._repeated.clear()
                 known = tuple(notice for notice in notices if notice is not None)
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -55,7 +55,7 @@
 from lovagetray.gateway._gateway_log import open_gateway_log
 from lovagetray.queries.dispatch import DispatchTools, RequestEncoder
 from lovagetray.queries.gathering import GatheredAnswer
-from lovagetray.queries.placing import ExtraBudget, Placement
+from lovagetray.queries.placing import ExtraBudget, Placement, connection_limits
 from lovagetray.queries.routing import AddressList, addresses_for, current_document
 from lovagetray.replicated import (
     Part,
@@ -84,8 +84,14 @@
 _HOUSEKEEPING = timedelta(seconds=1)
 # Exit code of a gateway that can no longer take part in the replicated log.
 _FAILED = 1
-# A notice may be late by seconds; a dead replica is found by its connections before.
-_MISSED_NOTICES = 6
+# So many instances hear each other directly; 11 cost each 0.03 of a core.
+_FULL_PACE = 12
+# How often the leader's list of live instances is looked at, and how old it may be.
+_FOLLOW = timedelta(milliseconds=250)
+_LIST_AGE = timedelta(seconds=2)
+# A notice may be late by seconds and is passed on every five seconds at least; a dead
+# replica is found by its connections before.
+_MISSED_NOTICES = 10
 _FORGET_REPLICA = timedelta(minutes=2)
 # An instance with a disk serves its last document if no leader is found within this.
 _CONFIRM_LIMIT = timedelta(seconds=10)
@@ -163,7 +169,9 @@
         self._book = ReplicaBook(
             settings.notice_interval * _MISSED_NOTICES, _FORGET_REPLICA
         )
-        self._members = Members(_own_record(settings, self._random), _SUSPICION)
+        self._members = Members(
+            _own_record(settings, self._random), _SUSPICION, _FULL_PACE
+        )
         self._peers = Peers(
             self._members.myself.instance,
             settings.addresses.peer,
@@ -172,6 +180,7 @@
             self._silence_of,
             _SUSPICION,
             _HEARTBEAT,
+            lambda: self._members.pace,
         )
         self._announcing = Announcing(
             self._book, self._members, self._peers, clock, self._random
@@ -301,6 +310,7 @@
             await group.spawn(self._announcing.run)
             await group.spawn(channels.run, self._has_ended)
             await group.spawn(self._keep_house)
+            await group.spawn(self._follow_leader)
             for server in opened:
                 await group.spawn(server.run)
             await group.spawn(self._start_serving, front.run)
@@ -430,7 +440,6 @@
             _log.info("instance_met", instance=name, state=record.state.value)
             await self._peers.send(name, self._heartbeat())
             await self._peers.send(name, self._known_instances())
-            await self._peers.broadcast(KnownInstances((record,)))
             await self._announcing.ask(name)
 
     def _known_instances(self) -> KnownInstances:
@@ -438,6 +447,14 @@
             tuple(sighting.record for sighting in self._members.sightings())
         )
 
+    async def _follow_leader(self) -> None:
+        """Take over whom the leader counts as live, as long as its word is fresh."""
+        while True:
+            await self._clock.sleep(_FOLLOW)
+            age = self._agreement.confirmed_age()
+            if age is not None and age <= _LIST_AGE and self._agreement.live:
+                self._members.vouch(self._agreement.live, self._clock.elapsed())
+
     async def _keep_house(self) -> None:
         """Tell one peer whom this instance knows and keep connections open."""
         while True:
@@ -466,6 +483,8 @@
                 record = self._placement.record(notice.replica)
                 if self._channels.knows(notice) or now < record.avoid_until:
                     continue
+                if not self._connection_limits(notice).usual:
+                    continue
                 await self._channels.connect(notice)
                 left -= 1
                 if not left:
@@ -478,15 +497,20 @@
         self._placement.forget(replica)
         return True
 
-    def _connection_limits(self, service: str) -> ConnectionLimits:
+    def _connection_limits(self, notice: ReplicaNotice) -> ConnectionLimits:
         """Return this instance's part of a replica's connections."""
         table = self._routing.table
-        spec = None if table is None else table.services.get(service)
+        spec = None if table is None else table.services.get(notice.service)
         if spec is None:
             return ConnectionLimits(1, 1)
-        # One instance more than are known leaves room for a start or a restart.
-        part = spec.connections // (self._instances() + 1)
-        return ConnectionLimits(max(1, part // 2), max(1, part))
+        return connection_limits(
+            notice,
+            self._book.usable(notice.service, self._clock.elapsed()),
+            spec.connections,
+            self._instances(),
+            self._settings.name,
+            self._settings.data_centre,
+        )
 
     def _instances(self) -> int:
         return len(self._members.sightings()) + 1
--- a/src/lovagetray/state/_members.py
+++ b/src/lovagetray/state/_members.py
@@ -1,5 +1,6 @@
 """The instances of the system, as one instance knows them."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 from enum import Enum
 from typing import NamedTuple
@@ -48,22 +49,41 @@
         The record of this instance.
     suspicion
         An instance that was silent for longer counts as gone.
+    full_pace
+        Up to so many instances hear each other directly often enough. With more, they
+        talk less often, so that each hears as many messages a second as before, and
+        take the leader's word for who is live. None: always directly.
     """
 
-    def __init__(self, myself: InstanceRecord, suspicion: timedelta) -> None:
+    def __init__(
+        self,
+        myself: InstanceRecord,
+        suspicion: timedelta,
+        full_pace: int | None = None,
+    ) -> None:
         self._myself = myself
         self._suspicion = suspicion
+        self._full_pace = full_pace
         self._sightings: dict[str, Sighting] = {}
+        self._vouched: frozenset[str] = frozenset()
+        self._vouched_at: timedelta | None = None
 
     @property
     def myself(self) -> InstanceRecord:
         """The record of this instance."""
         return self._myself
 
+    @property
+    def pace(self) -> float:
+        """The factor by which messages to every instance are rarer; 1 or more."""
+        if self._full_pace is None:
+            return 1.0
+        return max(1.0, (len(self._sightings) + 1) / self._full_pace)
+
     @property
     def suspicion(self) -> timedelta:
         """The silence after which an instance counts as gone."""
-        return self._suspicion
+        return self._suspicion * self.pace
 
     def change_own_state(self, state: InstanceState) -> None:
         """Set what this instance says about itself."""
@@ -84,6 +104,11 @@
         if sighting is not None and sighting.record.instance == instance:
             self._sightings[instance.name] = sighting._replace(heard_at=heard_at)
 
+    def vouch(self, names: Iterable[str], now: timedelta) -> None:
+        """Record whom the leader counts as live."""
+        self._vouched = frozenset(names)
+        self._vouched_at = now
+
     def record(self, name: str) -> InstanceRecord | None:
         """Return the last record of an instance."""
         if name == self._myself.instance.name:
@@ -104,11 +129,18 @@
         """Return this instance and those heard lately, in order of name."""
         heard = [
             sighting.record
-            for sighting in self._sightings.values()
-            if now - sighting.heard_at <= self._suspicion
+            for name, sighting in self._sightings.items()
+            if self._is_live(name, sighting, now)
         ]
         return sorted([self._myself, *heard], key=lambda record: record.instance.name)
 
+    def _is_live(self, name: str, sighting: Sighting, now: timedelta) -> bool:
+        vouched_at = self._vouched_at
+        if self.pace > 1 and vouched_at is not None:
+            if now - vouched_at <= self._suspicion:
+                return name in self._vouched
+        return now - sighting.heard_at <= self.suspicion
+
     def serving(self, now: timedelta) -> list[InstanceRecord]:
         """Return the live instances that accept new work, in order of name."""
         return [
--- a/src/lovagetray/targets/_channels.py
+++ b/src/lovagetray/targets/_channels.py
@@ -44,7 +44,8 @@
     ----------
     usual
         Opened without hesitation; twice as many fit, so that the connections of
-        instances that died unseen leave room for those of their successors.
+        instances that died unseen leave room for those of their successors. 0 if
+        another replica of the service is this instance's first choice.
     most
         Never exceeded.
     """
@@ -88,7 +89,7 @@
     group
         Runs one task for each connection.
     limits
-        Returns how many connections this instance holds to a replica of a service.
+        Returns how many connections this instance holds to a replica.
     """
 
     def __init__(
@@ -96,7 +97,7 @@
         clock: Clock,
         decode: ReplyDecoder,
         group: TaskGroup,
-        limits: Callable[[str], ConnectionLimits],
+        limits: Callable[[ReplicaNotice], ConnectionLimits],
     ) -> None:
         self._clock = clock
         self._decode = decode
@@ -111,12 +112,10 @@
 
     def room(self, notice: ReplicaNotice, now: timedelta) -> Room:
         """Return how an exchange with a replica could start now."""
-        replica = self._replicas.get(notice.replica)
-        if replica is None:
-            return Room.NEW
+        replica = self._replicas.get(notice.replica) or ReplicaChannels(notice)
         if replica.idle:
             return Room.IDLE
-        limits = self._limits(notice.service)
+        limits = self._limits(notice)
         if now < replica.full_until or len(replica.open) >= limits.most:
             return Room.FULL if replica.open else Room.CROWDED
         return Room.NEW if len(replica.open) < limits.usual else Room.CROWDED
@@ -139,7 +138,7 @@
         if channel is not None:
             await channel.send(exchange)
             return True
-        limits = self._limits(exchange.notice.service)
+        limits = self._limits(exchange.notice)
         may_open = self._clock.elapsed() >= replica.full_until or not replica.open
         if may_open and len(replica.open) < limits.most:
             await self._open(replica, exchange)
--- a/src/lovagetray/wire/_peers.py
+++ b/src/lovagetray/wire/_peers.py
@@ -68,6 +68,8 @@
         Silence after which the connection to a peer is opened anew.
     interval
         A peer gets a heartbeat when nothing else was sent for this long.
+    pace
+        Returns the factor by which interval and suspicion are longer.
     """
 
     def __init__(
@@ -79,7 +81,9 @@
         silence: Callable[[str], timedelta],
         suspicion: timedelta,
         interval: timedelta = HEARTBEAT,
+        pace: Callable[[], float] = lambda: 1.0,
     ) -> None:
+        self._pace = pace
         self._interval = interval
         self._myself = myself
         self._address = address
@@ -145,8 +149,10 @@
         connected_at = self._clock.elapsed()
         while True:
             # The first messages to a peer are lost if it is not connected yet.
-            unheard = self._silence(name) > self._suspicion
-            pause = min(self._interval, _FIRST_PAUSE) if unheard else self._interval
+            pace = self._pace()
+            suspicion, pause = self._suspicion * pace, self._interval * pace
+            if self._silence(name) > suspicion:
+                pause = min(pause, _FIRST_PAUSE)
             taken = await self._clock.within(pause, outbox.get())
             match taken:
                 case Result(tag="ok", ok=first):
@@ -156,7 +162,7 @@
             for message in messages:
                 self._send_now(socket, name, message)
             age = self._clock.elapsed() - connected_at
-            if min(self._silence(name), age) > self._suspicion:
+            if min(self._silence(name), age) > suspicion:
                 socket.close(linger=0)
                 socket = self._connect(address)
                 connected_at = self._clock.elapsed()
