One piece of code for second attempts, limits, statuses and checks

Read once more, for what the change wrote twice or did in the wrong place; behaviour stays. - Gathering and forwarding each kept when second attempts are due, the caller's limit and the margin of the last answer: now in Dispatch, CallerRequest.limit and latest_answer. - Both HTTP adapters mapped unreadable requests to statuses beside wire.failure_status, which now knows HeadTooLarge and serves them. - check-settings printed its verdict in two copies. - The limits of connections are looked up for each sub-request; they listed all usable replicas of the service even where connections are not short.

--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -216,7 +216,7 @@
             for _ in range(
                 connection_limits(
                     replica,
-                    context.replicas,
+                    lambda: context.replicas,
                     context.limit,
                     len(context.instances),
                     name,
--- a/src/lovagetray/_routing_types.py
+++ b/src/lovagetray/_routing_types.py
@@ -205,6 +205,10 @@
         """The path without the query."""
         return self.target.split(b"?", 1)[0].decode("latin-1")
 
+    def limit(self, route: Route) -> timedelta:
+        """Return how long the caller is kept waiting on a route."""
+        return min(route.time_limit, self.time_left or route.time_limit)
+
 
 class ReplicaLoad(NamedTuple):
     """What a replica says of its load; it may lag."""
--- a/src/lovagetray/cli/queries/_check_settings.py
+++ b/src/lovagetray/cli/queries/_check_settings.py
@@ -7,7 +7,9 @@
 
 from expression import Result
 
-from lovagetray._process_settings import read_process_settings
+from lovagetray._gateway_settings import GatewaySettings
+from lovagetray._process_settings import ProcessSettings, read_process_settings
+from lovagetray._settings_errors import InvalidSettings
 from lovagetray.cli._exit_codes import ExitCode
 
 
@@ -23,25 +25,22 @@
 
 
 def _run_check(arguments: Namespace) -> int:
-    if arguments.file.suffix == ".toml":
-        return _check_gateway(arguments.file)
-    match read_process_settings(arguments.file):
+    file: Path = arguments.file
+    match _read(file):
+        case Result(tag="ok", ok=GatewaySettings(name=name)):
+            print(f"{file}: settings of gateway {name} are valid")
         case Result(tag="ok", ok=settings):
-            print(f"{arguments.file}: settings of instance {settings.name} are valid")
-            return ExitCode.DONE
+            print(f"{file}: settings of instance {settings.name} are valid")
         case Result(error=failure):
             print(failure, file=stderr)
             return ExitCode.INVALID_SETTINGS
+    return ExitCode.DONE
 
 
-def _check_gateway(file: Path) -> int:
+def _read(file: Path) -> Result[ProcessSettings | GatewaySettings, InvalidSettings]:
+    if file.suffix != ".toml":
+        return read_process_settings(file)
     # Loaded here, because the other subcommands need neither of its libraries.
     from lovagetray.platform.formats import read_settings
 
-    match read_settings(file):
-        case Result(tag="ok", ok=settings):
-            print(f"{file}: settings of gateway {settings.name} are valid")
-            return ExitCode.DONE
-        case Result(error=failure):
-            print(failure, file=stderr)
-            return ExitCode.INVALID_SETTINGS
+    return read_settings(file)
--- a/src/lovagetray/commands/forwarding/_forward.py
+++ b/src/lovagetray/commands/forwarding/_forward.py
@@ -11,16 +11,14 @@
     RequestNotRun,
     TimeLimitReached,
 )
-from lovagetray._routing_types import CallerRequest, Repeat, ReplicaReply, Route
-from lovagetray.queries.dispatch import Dispatch, DispatchTools, Slot
+from lovagetray._routing_types import CallerRequest, ReplicaReply, Route
+from lovagetray.queries.dispatch import Dispatch, DispatchTools, Slot, latest_answer
 
 _log = get_logger()
 # Full and draining replicas have room again after a request's work.
 _RETRY_REFUSED = timedelta(milliseconds=150)
 # A replica that crashed is back or replaced after some seconds.
 _RETRY_UNREACHABLE = timedelta(milliseconds=300)
-# Time for the last answer to reach the caller before it stops waiting.
-_LAST_MARGIN = timedelta(milliseconds=20)
 
 
 async def forward(
@@ -32,14 +30,13 @@
     """
     clock = tools.clock
     began_at = clock.elapsed()
-    limit = min(route.time_limit, request.time_left or route.time_limit)
+    limit = request.limit(route)
     if not tools.placement.reachable((service,)):
         return Error(RequestNotRun("no replica can be reached", _RETRY_UNREACHABLE))
     dispatch = Dispatch(tools, request, route, (service,), began_at + limit)
-    limit_at = began_at + limit - min(_LAST_MARGIN, limit * 0.1)
     try:
         await dispatch.start()
-        await _collect(dispatch, tools, route, limit_at)
+        await _collect(dispatch, tools, began_at + latest_answer(limit))
     finally:
         await dispatch.abandon()
     slot = dispatch.slots[0]
@@ -68,21 +65,14 @@
 
 
 async def _collect(
-    dispatch: Dispatch, tools: DispatchTools, route: Route, limit_at: timedelta
+    dispatch: Dispatch, tools: DispatchTools, limit_at: timedelta
 ) -> None:
-    clock = tools.clock
-    hedge_at = limit_at
-    if route.repeat is Repeat.IDEMPOTENT:
-        hedge_at = min(limit_at, clock.elapsed() + tools.placement.hedge_delay(route))
-    hedged = False
     while not dispatch.settled:
-        now = clock.elapsed()
+        now = tools.clock.elapsed()
         if now >= limit_at:
             return
-        if now >= hedge_at and not hedged:
-            hedged = True
-            await dispatch.hedge()
-        await dispatch.wait(limit_at if hedged else hedge_at)
+        await dispatch.hedge_when_due(now)
+        await dispatch.wait(limit_at)
 
 
 def _result(
--- a/src/lovagetray/gateway/_dispatcher.py
+++ b/src/lovagetray/gateway/_dispatcher.py
@@ -29,6 +29,8 @@
         *(failure.code for failure in get_args(ForwardFailure)),
     )
 }
+_PARTS_INCLUDED = GATEWAY_PARTS.labels("included")
+_PARTS_MISSING = GATEWAY_PARTS.labels("missing")
 
 
 class Dispatcher:
@@ -49,8 +51,8 @@
         match result:
             case Result(tag="ok", ok=GatheredAnswer(signatures=parts, missing=missing)):
                 _OUTCOMES["answered" if not missing else "partial"].observe(took)
-                GATEWAY_PARTS.labels("included").inc(len(parts))
-                GATEWAY_PARTS.labels("missing").inc(missing)
+                _PARTS_INCLUDED.inc(len(parts))
+                _PARTS_MISSING.inc(missing)
             case Result(tag="ok"):
                 _OUTCOMES["answered"].observe(took)
             case Result(error=failure):
--- a/src/lovagetray/gateway/_replica_connections.py
+++ b/src/lovagetray/gateway/_replica_connections.py
@@ -40,7 +40,7 @@
             return ConnectionLimits(1, 1)
         return connection_limits(
             notice,
-            self.book.usable(notice.service, self.clock.elapsed()),
+            lambda: self.book.usable(notice.service, self.clock.elapsed()),
             spec.connections,
             self.instances(),
             self.settings.name,
--- a/src/lovagetray/platform/_caller_calls.py
+++ b/src/lovagetray/platform/_caller_calls.py
@@ -22,7 +22,7 @@
 from lovagetray._routing_types import CallerRequest, ReplicaReply
 from lovagetray.gateway import Gateway
 from lovagetray.queries.gathering import GatheredAnswer
-from lovagetray.wire import RawRequest, RawResponse
+from lovagetray.wire import RawRequest, RawResponse, failure_status
 
 _HOP_HEADERS = frozenset(
     (
@@ -120,15 +120,7 @@
     failure: MalformedRequest | RequestTooLarge | HeadTooLarge | RequestTooSlow,
 ) -> RawResponse:
     """Return the response to a request that could not be read."""
-    match failure:
-        case RequestTooSlow():
-            return _refusal(408, str(failure))
-        case HeadTooLarge():
-            return _refusal(431, str(failure))
-        case RequestTooLarge():
-            return _refusal(413, str(failure))
-        case _:
-            return _refusal(400, str(failure))
+    return _refusal(failure_status(failure), str(failure))
 
 
 def _refusal(
--- a/src/lovagetray/platform/_control_calls.py
+++ b/src/lovagetray/platform/_control_calls.py
@@ -18,7 +18,7 @@
 from lovagetray.gateway import Gateway
 from lovagetray.platform._document import decode_document
 from lovagetray.platform._notices import decode_notice
-from lovagetray.wire import HttpRequest, HttpResponse
+from lovagetray.wire import HttpRequest, HttpResponse, failure_status
 
 _log = get_logger()
 _JSON = {"content-type": "application/json"}
@@ -114,13 +114,7 @@
     failure: MalformedRequest | RequestTooLarge | RequestTooSlow,
 ) -> HttpResponse:
     """Return the response to a call that could not be read."""
-    match failure:
-        case RequestTooSlow():
-            return _refusal(408, str(failure))
-        case RequestTooLarge():
-            return _refusal(413, str(failure))
-        case _:
-            return _refusal(400, str(failure))
+    return _refusal(failure_status(failure), str(failure))
 
 
 def _empty(status: int) -> HttpResponse:
--- a/src/lovagetray/queries/dispatch/__init__.py
+++ b/src/lovagetray/queries/dispatch/__init__.py
@@ -5,4 +5,5 @@
     DispatchTools,
     RequestEncoder,
     Slot,
+    latest_answer,
 )
--- a/src/lovagetray/queries/dispatch/_dispatch.py
+++ b/src/lovagetray/queries/dispatch/_dispatch.py
@@ -26,6 +26,13 @@
 
 # Shorter answers cannot be delivered any more.
 _SHORTEST_WORK = timedelta(milliseconds=2)
+# Time for the last answer to reach the caller before it stops waiting.
+_LAST_MARGIN = timedelta(milliseconds=20)
+
+
+def latest_answer(limit: timedelta) -> timedelta:
+    """Return after which part of a caller's time the final answer is due."""
+    return limit - min(_LAST_MARGIN, limit * 0.1)
 
 
 class RequestEncoder(NamedTuple):
@@ -123,6 +130,8 @@
         self._encoded = tools.encoder.common(request)
         self._changed = Event()
         self._wake_on_any = False
+        # When second attempts are due; None once they were sent, or if there are none.
+        self._hedge_at: timedelta | None = None
         self._slot_of: dict[Exchange, Slot] = {}
         self.slots = [Slot(service) for service in services]
         self.answered = 0
@@ -146,9 +155,13 @@
         for slot in self.slots:
             if not await self._attempt(slot, "first"):
                 self._lose(slot)
+        if self._route.repeat is Repeat.IDEMPOTENT:
+            delay = self._tools.placement.hedge_delay(self._route)
+            self._hedge_at = self._tools.clock.elapsed() + delay
 
     async def wait(self, until: timedelta, for_any: bool = False) -> None:
-        """Wait until a slot needs a decision or all are settled; at most to `until`.
+        """Wait until a slot needs a decision or all are settled; at most to `until`,
+        or to the moment when second attempts are due.
 
         Parameters
         ----------
@@ -156,14 +169,19 @@
             Whether any answer ends the wait.
         """
         self._wake_on_any = for_any
+        if self._hedge_at is not None:
+            until = min(until, self._hedge_at)
         left = until - self._tools.clock.elapsed()
         if left > timedelta(0) and not self._changed.is_set():
             await self._tools.clock.within(left, self._changed.wait())
         self._changed.clear()
         await self._retry_failed()
 
-    async def hedge(self) -> None:
-        """Send a second attempt for each slot that waits for one answer."""
+    async def hedge_when_due(self, now: timedelta) -> None:
+        """Send a second attempt for each slot that waits for one answer, once."""
+        if self._hedge_at is None or now < self._hedge_at:
+            return
+        self._hedge_at = None
         for slot in self.slots:
             if slot.settled or len(slot.out) != 1:
                 continue
--- a/src/lovagetray/queries/gathering/_gather.py
+++ b/src/lovagetray/queries/gathering/_gather.py
@@ -57,7 +57,7 @@
     """Return the merged answer of enough shards, or why there is none."""
     clock = tools.clock
     began_at = clock.elapsed()
-    limit = min(route.time_limit, request.time_left or route.time_limit)
+    limit = request.limit(route)
     reachable = tools.placement.reachable(destination.shards)
     if not _enough(reachable, destination):
         return Error(RequestNotRun("too few shards can be reached", _RETRY_UNREACHABLE))
@@ -65,7 +65,7 @@
     dispatch = Dispatch(tools, request, route, destination.shards, began_at + limit)
     try:
         await dispatch.start()
-        await _collect(dispatch, tools, route, destination, plan)
+        await _collect(dispatch, tools, destination, plan)
     finally:
         await dispatch.abandon()
     took = clock.elapsed() - began_at
@@ -75,26 +75,20 @@
 async def _collect(
     dispatch: Dispatch,
     tools: DispatchTools,
-    route: Route,
     destination: GatherShards,
     plan: Patience,
 ) -> None:
     """Wait for answers, with second attempts, until the query is to be answered."""
-    clock = tools.clock
-    hedge_at = clock.elapsed() + tools.placement.hedge_delay(route)
-    hedged = False
     while not dispatch.settled:
         if not _enough(len(dispatch.slots) - dispatch.lost, destination):
             return
-        now = clock.elapsed()
-        if now >= hedge_at and not hedged:
-            hedged = True
-            await dispatch.hedge()
+        now = tools.clock.elapsed()
+        await dispatch.hedge_when_due(now)
         match plan.decide(now, _enough(dispatch.answered, destination)):
             case AnswerNow():
                 return
             case WaitUntil(at=at, for_any=for_any):
-                await dispatch.wait(at if hedged else min(at, hedge_at), for_any)
+                await dispatch.wait(at, for_any)
 
 
 def _enough(shards: int, destination: GatherShards) -> bool:
--- a/src/lovagetray/queries/gathering/_patience.py
+++ b/src/lovagetray/queries/gathering/_patience.py
@@ -9,14 +9,14 @@
 
 from msgspec import Struct
 
+from lovagetray.queries.dispatch import latest_answer
+
 # The caller's way and the encoding of the answer; callers are 1 to 3 ms away.
 _LEAST_MARGIN = timedelta(milliseconds=6)
 _MOST_MARGIN = timedelta(milliseconds=25)
 _MARGIN_SHARE = 0.2
 # A late answer waits this many target latencies for the shards that are missing.
 _LATE_PATIENCE = 3.0
-# Time for the last answer to reach the caller before it stops waiting.
-_LAST_MARGIN = timedelta(milliseconds=20)
 
 
 class AnswerNow(Struct, frozen=True):
@@ -76,11 +76,10 @@
 ) -> Patience:
     """Return when a query that began at a time is answered."""
     margin = min(max(_LEAST_MARGIN, target_latency * _MARGIN_SHARE), _MOST_MARGIN)
-    last_margin = min(_LAST_MARGIN, limit * 0.1)
     timely_at = began_at + max(target_latency - margin, target_latency * 0.5)
     return Patience(
         timely_at,
         timely_at + margin * 0.6,
         began_at + target_latency * _LATE_PATIENCE,
-        began_at + limit - last_margin,
+        began_at + latest_answer(limit),
     )
--- a/src/lovagetray/queries/placing/_home.py
+++ b/src/lovagetray/queries/placing/_home.py
@@ -5,7 +5,7 @@
 is slow, full or gone.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from xxhash import xxh32_intdigest
 
@@ -15,7 +15,7 @@
 
 def connection_limits(
     notice: ReplicaNotice,
-    replicas: Sequence[ReplicaNotice],
+    replicas: Callable[[], Sequence[ReplicaNotice]],
     connections: int,
     instances: int,
     instance: str,
@@ -26,7 +26,8 @@
     Parameters
     ----------
     replicas
-        The usable replicas of the service.
+        Returns the usable replicas of the service; asked only where connections are
+        short, because the limits are looked up for each sub-request.
     connections
         What a replica accepts from all instances.
     """
@@ -34,7 +35,7 @@
     part = connections // (instances + 1)
     if part:
         return ConnectionLimits(max(1, part // 2), part)
-    home = home_replica(replicas, instance, data_centre)
+    home = home_replica(replicas(), instance, data_centre)
     return ConnectionLimits(int(home in (None, notice.replica)), 1)
 
 
--- a/src/lovagetray/wire/__init__.py
+++ b/src/lovagetray/wire/__init__.py
@@ -7,6 +7,7 @@
     encode_addresses,
     encode_answer,
     encode_failure,
+    failure_status,
     search_request,
 )
 from lovagetray.wire._caller_server import CallerServer, RawRequest, RawResponse
--- a/src/lovagetray/wire/_caller_json.py
+++ b/src/lovagetray/wire/_caller_json.py
@@ -10,6 +10,7 @@
 from lovagetray._errors import (
     BadAnnouncement,
     DeadlinePassed,
+    HeadTooLarge,
     Incomplete,
     InvalidSettings,
     KeyConflict,
@@ -178,6 +179,8 @@
             return 410
         case RequestTooLarge():
             return 413
+        case HeadTooLarge():
+            return 431
         case Overloaded() | Stopping() | PeerUnreachable() | Incomplete():
             return 503
         case RevisionAhead() | LedgerUnavailable():
