Refuse an announcement whose port is a superscript digit

Cause: the announcement's address had a parser of its own beside Address.parse; str.isdigit accepts superscripts and int does not, so the call ended in an unhandled ValueError. Change: one parser, Address.parse, which accepts ASCII digits only. Test: gateway_processes, 'Unreadable announcements', failed before and passes after.

--- a/features/steps/gateway_process_steps.py
+++ b/features/steps/gateway_process_steps.py
@@ -162,7 +162,12 @@
     foreign += [dumps({**good, name: None}).encode() for name in good]
     foreign += [
         dumps(good | change).encode()
-        for change in ({"State": "asleep"}, {"Address": "nowhere"}, {"born": "5"})
+        for change in (
+            {"State": "asleep"},
+            {"Address": "nowhere"},
+            {"Address": "127.0.0.1:²"},
+            {"born": "5"},
+        )
     ]
     control = context.fleet.gateways[0].control
     context.put = [
--- a/src/lovagetray/_types.py
+++ b/src/lovagetray/_types.py
@@ -17,8 +17,9 @@
     @classmethod
     def parse(cls, text: str) -> "Address":
         """Return the address written as ``host:port``; ValueError if it is not one."""
-        host, colon, port = text.rpartition(":")
-        if not host or not colon:
+        host, _, port = text.rpartition(":")
+        # `isdigit` alone also accepts superscripts, which `int` does not.
+        if not host or not (port.isascii() and port.isdigit()):
             raise ValueError(f"{text!r} is not host:port")
         return cls(host, int(port))
 
--- a/src/lovagetray/platform/_notices.py
+++ b/src/lovagetray/platform/_notices.py
@@ -34,16 +34,17 @@
     except (DecodeError, ValidationError) as error:
         return Error(UnreadableNotice(str(error)))
     state = _STATES.get(beat.state)
-    host, _, port = beat.address.rpartition(":")
-    if state is None or not host or not port.isdigit() or not replica:
-        return Error(
-            UnreadableNotice(f"state {beat.state!r}, address {beat.address!r}")
-        )
+    try:
+        address = Address.parse(beat.address)
+    except ValueError as error:
+        return Error(UnreadableNotice(str(error)))
+    if state is None or not replica:
+        return Error(UnreadableNotice(f"state {beat.state!r}, replica {replica!r}"))
     return Ok(
         ReplicaNotice(
             replica=replica,
             service=beat.service,
-            address=Address(host, int(port)),
+            address=address,
             data_centre=beat.zone,
             state=state,
             born=beat.born,
