--- a/features/caller_connection.feature
+++ b/features/caller_connection.feature
@@ -51,3 +51,25 @@
     Then the response asks to close the connection
     When the server closes
     Then new connections are refused
+
+  Scenario: A server closes under load
+    Guards against requests that were cut off at a planned stop although they had arrived:
+    those in the queue of new connections, those half received, and the first ones of
+    connections that were just accepted.
+    Given a server that echoes the path
+    When it closes while 20 connections wait in the queue with a request each
+    And while half a request has arrived on one connection and none on another
+    Then all 22 requests are answered once they are complete
+
+  Scenario: A handler fails
+    Guards against a caller that waits until its timeout because an unexpected exception
+    ended the task of its request.
+    Given a server whose handler fails
+    When a caller sends a request
+    Then its connection is closed at once
+
+  Scenario: The server accepts connections again after it ran out of descriptors
+    Guards against an instance that accepts no connection any more after one failure.
+    Given a server that echoes the path
+    When accepting a connection fails 3 times for want of a descriptor
+    Then the next caller is answered
--- a/features/fakes/replica_script.py
+++ b/features/fakes/replica_script.py
@@ -13,6 +13,7 @@
     ReplicaLoad,
     ReplicaNotice,
     ReplicaReply,
+    ReplicaRun,
     ReplicaState,
 )
 from lovagetray._target_errors import ConnectFailed, ConnectionLost
@@ -31,6 +32,8 @@
     ----------
     action
         answer, fail, shed, reset, refuse or silence.
+    leaving, refuses_for
+        What the replica states in its replies.
     delay
         Time from a request to its outcome.
     body
@@ -43,6 +46,8 @@
     delay: timedelta = timedelta(milliseconds=10)
     body: bytes = b""
     status: int = 500
+    leaving: bool = False
+    refuses_for: timedelta | None = None
 
 
 class ScriptedConnectionPool:
@@ -87,6 +92,10 @@
                 outcome = ConnectFailed(replica)
             case _:
                 outcome = ConnectionLost(replica)
+        if isinstance(outcome, ReplicaReply):
+            outcome = outcome._replace(
+                leaving=behaviour.leaving, refuses_for=behaviour.refuses_for
+            )
         await exchange.waiter.deliver(exchange, outcome)
 
 
@@ -128,8 +137,12 @@
         lambda request: (request.target, request.body),
         lambda common, replica, time_left: common[0] + b" " + replica.encode(),
     )
+
+    async def report_leaving(notice: ReplicaNotice) -> None:
+        directory.mark_leaving(ReplicaRun(notice.replica, notice.born))
+
     dependencies = DispatchDependencies(
-        balancer, connection_pool, encoder, clock  # type: ignore
+        balancer, connection_pool, encoder, clock, report_leaving  # type: ignore
     )
     return DispatchHarness(directory, connection_pool, dependencies, balancer)
 
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -64,3 +64,38 @@
     Guards against services that get more or less than their share.
     When 300 requests are split 70 to 20 to 10
     Then the services get 210, 60 and 30 requests
+
+  Scenario: A replica wants no requests for a time
+    Guards against requests to an overloaded replica that has asked for a pause.
+    Given a service with 1 replicas
+    And every replica refuses and wants no requests for 2000 ms
+    When 10 requests are forwarded 100 ms apart
+    Then 1 requests arrived
+    And each later request is refused as not run, with the rest of the 2000 ms to wait
+    When 2100 ms pass and the replicas recover
+    Then a request is answered
+
+  Scenario: A replica that wants no requests leaves the work to the others
+    Guards against a refusal although another replica takes requests.
+    Given a service with 3 replicas
+    And the first-choice replica refuses and wants no requests for 2000 ms
+    When 10 requests are forwarded 100 ms apart
+    Then each is answered
+    And the first-choice replica received 1 request
+
+  Scenario: A replica states in its responses that it is leaving
+    Guards against requests to a replica that leaves and whose notice this instance has
+    not got.
+    Given a service with 3 replicas
+    And the first-choice replica answers that it is leaving
+    When 10 requests are forwarded 100 ms apart
+    Then each is answered
+    And the first-choice replica received 1 request
+
+  Scenario: All replicas state that they are leaving
+    Guards against requests to leaving replicas for want of others.
+    Given a service with 2 replicas
+    And every replica answers that it is leaving
+    When 10 requests are forwarded 100 ms apart
+    Then no replica received more than 1 request
+    And each later request is refused as not run
--- a/features/platform_formats.feature
+++ b/features/platform_formats.feature
@@ -38,3 +38,45 @@
     Then a response with Not-Executed or 421 proves that the request did not run
     And a response with a content encoding is not a success
     And a malformed load report is ignored
+    And a response with Server-Leaving states that the replica is leaving
+    And the seconds of Retry-After count for status 503 alone, if they are a number
+
+  Scenario Outline: An odd notice of another writer
+    Guards against an entry that ends the task which reads it, or that names an address
+    to which no connection can be opened.
+    When a notice has <change>
+    Then the notice is refused as unreadable
+
+    Examples:
+      | change                              |
+      | 5,000 nested lists                  |
+      | 1,000,000 nested objects            |
+      | the port 0                          |
+      | the port 70000                      |
+      | a port of 5,000 digits              |
+      | a host of 70,000 letters            |
+      | the host of a group                 |
+      | no host                             |
+      | a warm-up of 1e300 ms               |
+      | a sequence of 31 digits             |
+      | a start time of 31 digits           |
+      | 1e18 slots                          |
+      | a negative sequence                 |
+      | a replica id of 5,000 letters       |
+
+  Scenario Outline: An odd configuration
+    Guards against a configuration that ends the task which reads it.
+    When a configuration has <change>
+    Then the configuration is refused as unreadable
+
+    Examples:
+      | change                    |
+      | 5,000 nested lists        |
+      | a time limit of 1e300 ms  |
+      | a negative time limit     |
+      | an idle time of 1e300 ms  |
+      | a version of 31 digits    |
+
+  Scenario: Decoders of the platform's formats return a result for any bytes
+    Guards against an exception for input that no test names.
+    Then decoding any bytes as a notice, configuration or response returns a result
--- a/features/replica_directory.feature
+++ b/features/replica_directory.feature
@@ -70,3 +70,18 @@
     Given the notices "r1 ready born 10 sequence 5" and "r2 draining born 10 sequence 3"
     When another instance holds "r1 ready born 10 sequence 6" and "r2 ready born 10 sequence 2"
     Then only r2 is newer in this directory
+
+  Scenario: A replica states in a response that it is leaving
+    Guards against a late notice of the same run that makes the replica usable again.
+    Given the notice "r1 ready born 10 sequence 5"
+    When r1 states in a response of the run born 10 that it is leaving
+    And "r1 ready born 10 sequence 9" arrives
+    Then no replica is usable
+    When "r1 ready born 20 sequence 1" arrives
+    Then r1 is usable
+
+  Scenario: A replica was leaving before it restarted
+    Guards against a new run that is not used because of a late answer of the old one.
+    Given the notice "r1 ready born 20 sequence 1"
+    When r1 states in a response of the run born 10 that it is leaving
+    Then r1 is usable
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -2,14 +2,16 @@
 
 from contextlib import suppress
 from datetime import timedelta
+from errno import EMFILE
 from socket import create_connection, socket
 from threading import Event, Thread
-from time import monotonic
+from time import monotonic, sleep as sleep_thread
 from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
 from curio import CancelledError, Kernel, sleep, spawn
+from curio.io import Socket as CurioSocket
 from fleet import free_ports
 
 from lovagetray import Address, SystemClock
@@ -24,7 +26,9 @@
 class CallerServerThread:
     """A caller server that runs in its own thread."""
 
-    def __init__(self, work_seconds: float) -> None:
+    def __init__(self, work_seconds: float, handler_fails: bool = False) -> None:
+        self._handler_fails = handler_fails
+        self.waiting: list[socket] = []
         self.address = Address("127.0.0.1", free_ports(1)[0])
         self.requests: list[RawRequest] = []
         self.cancelled = Event()
@@ -63,13 +67,42 @@
                 match self._commands[0]:
                     case "drain":
                         server.drain()
+                    case "connect and close":
+                        # Nothing else runs before the server closes.
+                        self._connect_callers(20)
+                        await server.close()
+                    case "fail to accept":
+                        self._fail_to_accept(server, 3)
                     case _:
                         await server.close()
                 self._commands.pop()
         await task.cancel()
 
+    def _connect_callers(self, count: int) -> None:
+        for number in range(count):
+            caller = create_connection((self.address.host, self.address.port))
+            caller.sendall(_request(f"/{number}"))
+            self.waiting.append(caller)
+
+    def _fail_to_accept(self, server: CallerServer, count: int) -> None:
+        """Let the next attempts to accept a connection fail."""
+        accept = CurioSocket.accept
+        failures = iter(range(count))
+
+        async def failing_accept(listener: Any) -> Any:
+            accepted = await accept(listener)
+            if next(failures, None) is None:
+                CurioSocket.accept = accept
+                return accepted
+            await accepted[0].close()
+            raise OSError(EMFILE, "too many open files")
+
+        CurioSocket.accept = failing_accept
+
     async def _handle(self, request: RawRequest) -> RawResponse:
         self.requests.append(request)
+        if self._handler_fails:
+            raise OverflowError("a number is too large")
         try:
             await sleep(self._work_seconds)
         except CancelledError:
@@ -88,6 +121,68 @@
     context.fleet = context.server = CallerServerThread(0)
 
 
+@given("a server whose handler fails")
+def start_failing_server(context: Context) -> None:
+    context.fleet = context.server = CallerServerThread(0, handler_fails=True)
+
+
+@when("a caller sends a request")
+def send_request(context: Context) -> None:
+    context.caller = _connect(context)
+    context.caller.sendall(_request("/1"))
+
+
+@then("its connection is closed at once")
+def check_closed_at_once(context: Context) -> None:
+    with context.caller as caller:
+        assert caller.recv(1000) == b""
+
+
+@when("it closes while {count:d} connections wait in the queue with a request each")
+def close_with_queue(context: Context, count: int) -> None:
+    context.half = _connect(context)
+    context.half.sendall(_request("/half")[:10])
+    context.fresh = _connect(context)
+    # The server accepts both and reads the half request.
+    sleep_thread(20 * _POLL_SECONDS)
+    context.server.send_command("connect and close")
+    assert len(context.server.waiting) == count
+
+
+@when("while half a request has arrived on one connection and none on another")
+def complete_requests(context: Context) -> None:
+    context.half.sendall(_request("/half")[10:])
+    context.fresh.sendall(_request("/fresh"))
+    context.server.waiting += [context.half, context.fresh]
+
+
+@then("all {count:d} requests are answered once they are complete")
+def check_all_answered(context: Context, count: int) -> None:
+    assert len(context.server.waiting) == count
+    for caller in context.server.waiting:
+        with caller:
+            caller.settimeout(5)
+            response = caller.recv(1000)
+            assert response.startswith(b"HTTP/1.1 200 "), response
+
+
+@when("accepting a connection fails 3 times for want of a descriptor")
+def fail_to_accept(context: Context) -> None:
+    context.server.send_command("fail to accept")
+    # The server already waits for this connection with the working call.
+    check_next_answered(context)
+    for _ in range(3):
+        with _connect(context) as caller:
+            assert caller.recv(1000) == b""
+
+
+@then("the next caller is answered")
+def check_next_answered(context: Context) -> None:
+    with _connect(context) as caller:
+        caller.sendall(_request("/1"))
+        assert caller.recv(1000).startswith(b"HTTP/1.1 200 ")
+
+
 @when("a caller sends a request and closes its connection")
 def disconnect(context: Context) -> None:
     with _connect(context) as connection:
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -12,8 +12,9 @@
     make_caller_request,
     make_dispatch_harness,
 )
-from fakes.virtual_time import run_in_virtual_time
+from fakes.virtual_time import VirtualKernel, run_in_virtual_time
 
+from lovagetray import SystemClock
 from lovagetray._routing_types import (
     OneService,
     RetrySafety,
@@ -25,6 +26,8 @@
 
 _TIMEOUT = timedelta(seconds=2)
 _TARGET_LATENCY = timedelta(milliseconds=300)
+# A scripted replica replies after 10 ms.
+_REPLY_TIME = timedelta(milliseconds=20)
 
 
 @given("a service with {count:d} replicas")
@@ -72,6 +75,92 @@
         context.behaviours[f"s-{number}"] = ScriptedBehaviour("refuse")
 
 
+@given("every replica refuses and wants no requests for {milliseconds:d} ms")
+def refuse_all_for(context: Context, milliseconds: int) -> None:
+    _set_every(context, _refusal(milliseconds))
+
+
+@given("the first-choice replica refuses and wants no requests for {milliseconds:d} ms")
+def refuse_first_for(context: Context, milliseconds: int) -> None:
+    context.behaviours["s-1"] = _refusal(milliseconds)
+    context.prefer_first = True
+
+
+@given("the first-choice replica answers that it is leaving")
+def leave_first(context: Context) -> None:
+    context.behaviours["s-1"] = ScriptedBehaviour(leaving=True)
+    context.prefer_first = True
+
+
+@given("every replica answers that it is leaving")
+def leave_all(context: Context) -> None:
+    _set_every(context, ScriptedBehaviour(leaving=True))
+
+
+@when("{count:d} requests are forwarded {milliseconds:d} ms apart")
+def forward_many(context: Context, count: int, milliseconds: int) -> None:
+    context.kernel = VirtualKernel()
+    context.add_cleanup(context.kernel.close)
+
+    async def run() -> None:
+        harness = _make_harness(context)
+        context.started_at = SystemClock().monotonic_time()
+        context.results = []
+        for _ in range(count):
+            await SystemClock().sleep(timedelta(milliseconds=milliseconds))
+            sent_at = SystemClock().monotonic_time()
+            result = await _forward_one(harness, RetrySafety.IDEMPOTENT)
+            context.results.append((sent_at, result))
+
+    context.kernel.run(run)
+
+
+@when("{milliseconds:d} ms pass and the replicas recover")
+def recover(context: Context, milliseconds: int) -> None:
+    async def run() -> None:
+        context.harness.connection_pool.behaviours.clear()
+        await SystemClock().sleep(timedelta(milliseconds=milliseconds))
+        context.results = [(None, await _forward_one(context.harness))]
+
+    context.kernel.run(run)
+
+
+@then("a request is answered")
+@then("each is answered")
+def check_all_answered(context: Context) -> None:
+    assert all(result.is_ok() for _, result in context.results), context.results
+
+
+@then("the first-choice replica received 1 request")
+def check_first_received(context: Context) -> None:
+    assert _received(context)["s-1"] == 1, _received(context)
+
+
+@then("no replica received more than 1 request")
+def check_received_once(context: Context) -> None:
+    assert set(_received(context).values()) == {1}, _received(context)
+
+
+@then("each later request is refused as not run")
+def check_later_refused(context: Context) -> None:
+    later = context.results[context.count :]
+    assert later
+    for _, result in later:
+        assert result.error.code == "request_not_run", result
+
+
+@then(
+    "each later request is refused as not run, with the rest of the {milliseconds:d} "
+    "ms to wait"
+)
+def check_refused_with_wait(context: Context, milliseconds: int) -> None:
+    check_later_refused(context)
+    first_sent_at = context.results[0][0]
+    for sent_at, result in context.results[1:]:
+        left = timedelta(milliseconds=milliseconds) - (sent_at - first_sent_at)
+        assert left <= result.error.retry_after <= left + _REPLY_TIME, result
+
+
 @when("an idempotent request is forwarded")
 def forward_idempotent(context: Context) -> None:
     _forward(context, RetrySafety.IDEMPOTENT)
@@ -145,13 +234,33 @@
 
 def _forward(context: Context, retry_safety: RetrySafety) -> None:
     async def run() -> None:
-        harness: Any = make_dispatch_harness({"s": context.count})
-        context.harness = harness
-        harness.connection_pool.behaviours.update(context.behaviours)
-        if context.prefer_first:
-            harness.balancer.replica_stats("s-1").relative_latency = 0.1
-        context.result = await forward(
-            harness.dependencies, make_caller_request(), _route(retry_safety), "s"
-        )
+        harness = _make_harness(context)
+        context.result = await _forward_one(harness, retry_safety)
 
     run_in_virtual_time(run)
+
+
+def _make_harness(context: Context) -> Any:
+    harness: Any = make_dispatch_harness({"s": context.count})
+    context.harness = harness
+    harness.connection_pool.behaviours.update(context.behaviours)
+    if context.prefer_first:
+        harness.balancer.replica_stats("s-1").relative_latency = 0.1
+    return harness
+
+
+async def _forward_one(
+    harness: Any, retry_safety: RetrySafety = RetrySafety.IDEMPOTENT
+) -> Any:
+    return await forward(
+        harness.dependencies, make_caller_request(), _route(retry_safety), "s"
+    )
+
+
+def _refusal(milliseconds: int) -> ScriptedBehaviour:
+    return ScriptedBehaviour("shed", refuses_for=timedelta(milliseconds=milliseconds))
+
+
+def _received(context: Context) -> Counter[str]:
+    requests = context.harness.connection_pool.received_requests
+    return Counter(replica for _, replica in requests)
--- a/features/steps/gateway_process_steps.py
+++ b/features/steps/gateway_process_steps.py
@@ -171,8 +171,14 @@
             {"Address": "nowhere"},
             {"Address": "127.0.0.1:²"},
             {"born": "5"},
+            {"Address": "127.0.0.1:0"},
+            {"Address": "127.0.0.1:70000"},
+            {"WarmupLeftMs": 1e300},
+            {"Sequence": 10**30},
         )
     ]
+    nested = b"[" * 100_000
+    invalid.append(dumps(valid).encode()[:-1] + b',"x":' + nested + b"}")
     control = context.fleet.gateways[0].control_port
     context.responses = [
         context.fleet.call(0, control, "POST", "/-/instances/i-9/heartbeat", body)
--- /dev/null
+++ b/features/steps/hostile_replica_steps.py
@@ -0,0 +1,316 @@
+"""Steps for connections to replicas that send faulty or endless bytes, on loopback."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+from curio import Event, TaskGroup, ignore_after, run, sleep
+from curio.socket import AF_INET, SO_LINGER, SOCK_STREAM, SOL_SOCKET, socket
+from fakes.replica_script import make_notice
+
+from lovagetray import Address, SystemClock
+from lovagetray.platform.formats import decode_reply
+from lovagetray.targets import ConnectionLimits, ConnectionPool, Exchange
+
+_BLOCK = 64 * 1024
+_MEGABYTE = 1024 * 1024
+# Long enough for a loaded machine; an exchange that ends at all takes milliseconds.
+_PATIENCE_SECONDS = 30
+_HEAD = b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n"
+_CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+_FILLER = b"a" * _BLOCK
+_ENDLESS = {
+    "header lines": (_HEAD, (b"X: " + b"a" * 1021 + b"\r\n") * 64),
+    "one header line": (_HEAD + b"X: ", _FILLER),
+    "a body": (_HEAD + b"Content-Length: 999999999999\r\n\r\n", _FILLER),
+    "chunks": (_CHUNKED, b"10000\r\n" + _FILLER + b"\r\n"),
+    "a chunk extension": (_CHUNKED + b"4;x=", _FILLER),
+    "trailer lines": (_CHUNKED + b"0\r\n", b"X: y\r\n" * 10_000),
+    "informational responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 2_000),
+}
+_EARLY_ENDS = {
+    "half of a body with a length": _HEAD + b"Content-Length: 100\r\n\r\nhalf",
+    "half of a chunk": _CHUNKED + b"64\r\nhalf",
+    "half of a trailer": _CHUNKED + b"4\r\nhalf\r\n0\r\nX: y\r\n",
+    "half of a body and a reset": _HEAD + b"Connection: close\r\n\r\nhalf",
+    "a switch of protocols": (
+        b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
+        b"Upgrade: x\r\n\r\nbytes"
+    ),
+    "bytes that are no response": b"\x00\x01\x02\r\n\r\n",
+}
+_Serve = Callable[[Context, Any, int], Awaitable[None]]
+
+
+class _Waiter:
+    """Receiver of outcomes, with the time until the first one."""
+
+    def __init__(self) -> None:
+        self.outcomes: list[Any] = []
+        self.done = Event()
+
+    async def deliver(self, exchange: Exchange, outcome: Any) -> None:
+        self.outcomes.append(outcome)
+        await self.done.set()
+
+
+@given("a replica whose bytes never end: {name}")
+def send_without_end(context: Context, name: str) -> None:
+    async def serve(context: Context, client: Any, number: int) -> None:
+        start, block = _ENDLESS[name]
+        await client.recv(_BLOCK)
+        await client.sendall(start)
+        while context.sent_bytes < 400 * _MEGABYTE:
+            await client.sendall(block)
+            context.sent_bytes += len(block)
+
+    context.serve = serve
+
+
+@given("a replica that sends {name}")
+def send_bytes(context: Context, name: str) -> None:
+    async def serve_once(context: Context, client: Any, number: int) -> None:
+        await client.recv(_BLOCK)
+        await client.sendall(_EARLY_ENDS[name])
+        if "reset" in name:
+            await sleep(0.05)
+            client.setsockopt(SOL_SOCKET, SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+
+    async def serve_each(context: Context, client: Any, number: int) -> None:
+        while request := await client.recv(_BLOCK):
+            response = _response(request, with_id="without" not in name)
+            if "twice" in name:
+                response += response
+            if "start of another" in name:
+                response += response[:20]
+            await client.sendall(response)
+
+    context.serve = serve_once if name in _EARLY_ENDS else serve_each
+
+
+@given("a replica whose bytes are random")
+def send_random(context: Context) -> None:
+    pieces = [
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 102 x\r\n\r\n",
+        b"Content-Length: 5\r\n",
+        b"Content-Length: -1\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"Server-Load: 9999999999999999999999,1,1\r\n",
+        b"Retry-After: 1e400\r\n",
+        b"Keep-Alive: timeout=" + b"9" * 5000 + b"\r\n",
+        b"Request-Id: other\r\n",
+        b"\r\n",
+        b"5\r\nhello\r\n0\r\n\r\n",
+        b"hello",
+    ]
+
+    async def serve(context: Context, client: Any, number: int) -> None:
+        random = Random(number)
+        await client.recv(_BLOCK)
+        parts = [random.choice(pieces) for _ in range(random.randint(0, 12))]
+        parts.insert(
+            random.randint(0, len(parts)), random.randbytes(random.randint(0, 9))
+        )
+        await client.sendall(b"".join(parts))
+
+    context.serve = serve
+
+
+@given("a replica that repeats its last response before the next one")
+def repeat_last(context: Context) -> None:
+    async def serve(context: Context, client: Any, number: int) -> None:
+        last = b""
+        while request := await client.recv(_BLOCK):
+            response = _response(request, with_id=True)
+            await client.sendall(last + response)
+            last = response
+
+    context.serve = serve
+
+
+@given("a replica that accepts 1 connection and answers nothing")
+def answer_nothing(context: Context) -> None:
+    async def serve(context: Context, client: Any, number: int) -> None:
+        while await client.recv(_BLOCK):
+            pass
+
+    context.serve = serve
+
+
+@when("a request is sent to it")
+def send_one(context: Context) -> None:
+    _run(context, lambda pool, notice: _exchange(context, pool, notice, 1))
+
+
+@when("two requests are sent to it, one after the other")
+def send_two(context: Context) -> None:
+    _run(context, lambda pool, notice: _exchange(context, pool, notice, 2))
+
+
+@when("{count:d} requests are sent to it")
+def send_many(context: Context, count: int) -> None:
+    _run(context, lambda pool, notice: _exchange(context, pool, notice, count))
+
+
+@when("requests are sent to it while other connections hold all bytes")
+def send_with_held_bytes(context: Context) -> None:
+    async def work(pool: ConnectionPool, notice: Any) -> None:
+        pool._buffered.hold(32 * _MEGABYTE)
+        await _exchange(context, pool, notice, 1)
+
+    _run(context, work)
+
+
+@when("a request is sent to it and the decoder fails")
+def send_with_failing_decoder(context: Context) -> None:
+    def decode(*_: Any) -> Any:
+        raise OverflowError("a number is too large")
+
+    _run(context, lambda pool, notice: _exchange(context, pool, notice, 1), decode)
+
+
+@when("a second request waits and the replica announces another address")
+def move_replica(context: Context) -> None:
+    async def work(pool: ConnectionPool, notice: Any) -> None:
+        waiters = [_Waiter(), _Waiter()]
+        for number, waiter in enumerate(waiters):
+            await pool.start(_make_exchange(notice, number, waiter))
+        context.moved = True
+        moved = notice._replace(address=Address("127.0.0.1", 1), sequence=2)
+        await pool.start(_make_exchange(moved, 2, _Waiter()))
+        await ignore_after(_PATIENCE_SECONDS, waiters[1].done.wait())
+        context.outcomes = waiters[1].outcomes
+
+    context.moved = False
+    _run(context, work)
+
+
+@then("the exchange fails with {code}")
+@then("the second request fails with {code}")
+def check_failure(context: Context, code: str) -> None:
+    assert [outcome.code for outcome in context.outcomes] == [code], context.outcomes
+
+
+@then("the replica could send at most {megabytes:d} MB")
+def check_sent(context: Context, megabytes: int) -> None:
+    # Socket buffers of the system hold some megabytes that nobody has read.
+    assert context.sent_bytes <= megabytes * _MEGABYTE, context.sent_bytes
+
+
+@then("each gets its own response")
+def check_own_responses(context: Context) -> None:
+    bodies = [getattr(outcome, "body", None) for outcome in context.outcomes]
+    assert bodies == [b"body of r0", b"body of r1"], context.outcomes
+
+
+@then("each gets its own response or none")
+def check_no_foreign_response(context: Context) -> None:
+    assert len(context.outcomes) == 2, context.outcomes
+    for number, outcome in enumerate(context.outcomes):
+        body = getattr(outcome, "body", None)
+        assert body in (None, b"body of r%d" % number), context.outcomes
+
+
+@then("{count:d} connections were opened")
+def check_connections(context: Context, count: int) -> None:
+    assert context.connections == count, context.connections
+
+
+@then("each has exactly one outcome")
+def check_outcomes(context: Context) -> None:
+    counts = [len(outcomes) for outcomes in context.outcomes_of_each]
+    assert counts == [1] * len(counts), counts
+
+
+@then("the task group of the connections is empty")
+def check_group(context: Context) -> None:
+    assert context.tasks_kept <= 1, context.tasks_kept
+
+
+def _run(
+    context: Context,
+    work: Callable[[ConnectionPool, Any], Awaitable[None]],
+    decode: Any = decode_reply,
+) -> None:
+    context.sent_bytes = context.connections = 0
+    context.outcomes = []
+
+    async def main() -> None:
+        listener = socket(AF_INET, SOCK_STREAM)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(16)
+        notice = make_notice("r")._replace(address=Address(*listener.getsockname()))
+        clock = SystemClock()
+        async with TaskGroup(wait=None) as servers:
+            await servers.spawn(_accept, context, listener, servers)
+            async with TaskGroup(wait=None) as group:
+                pool = ConnectionPool(
+                    clock,
+                    decode,
+                    group,
+                    lambda _: ConnectionLimits(1, 1),
+                    lambda _: True,
+                )
+                await group.spawn(pool.run, lambda used: _has_moved(context, used))
+                await work(pool, notice)
+                await sleep(0.05)
+                context.tasks_kept = len(group.tasks)
+        await listener.close()
+
+    run(main)
+
+
+def _has_moved(context: Context, notice: Any) -> bool:
+    return bool(getattr(context, "moved", False)) and notice.sequence == 1
+
+
+async def _accept(context: Context, listener: Any, group: TaskGroup) -> None:
+    while True:
+        client, _ = await listener.accept()
+        context.connections += 1
+        await group.spawn(_serve, context, client, context.connections, daemon=True)
+
+
+async def _serve(context: Context, client: Any, number: int) -> None:
+    async with client:
+        try:
+            await context.serve(context, client, number)
+        except OSError:
+            # The connection was closed by the other side.
+            pass
+
+
+async def _exchange(
+    context: Context, pool: ConnectionPool, notice: Any, count: int
+) -> None:
+    waiters = []
+    for number in range(count):
+        waiter = _Waiter()
+        waiters.append(waiter)
+        assert await pool.start(_make_exchange(notice, number, waiter))
+        await ignore_after(_PATIENCE_SECONDS, waiter.done.wait())
+        # Bytes that follow a response arrive before the next request is sent.
+        await sleep(0.02)
+    context.outcomes_of_each = [waiter.outcomes for waiter in waiters]
+    context.outcomes = [
+        outcome for outcomes in context.outcomes_of_each for outcome in outcomes
+    ]
+
+
+def _make_exchange(notice: Any, number: int, waiter: _Waiter) -> Exchange:
+    payload = b"GET /%d HTTP/1.1\r\nRequest-Id: r%d\r\n\r\n" % (number, number)
+    deadline = SystemClock().monotonic_time() + timedelta(seconds=_PATIENCE_SECONDS)
+    return Exchange(notice, f"r{number}", payload, waiter, deadline)
+
+
+def _response(request: bytes, with_id: bool) -> bytes:
+    request_id = request.split(b"Request-Id: ")[1].split(b"\r\n")[0]
+    head = _HEAD
+    if with_id:
+        head += b"Request-Id: " + request_id + b"\r\n"
+    body = b"body of " + request_id
+    return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
--- a/features/steps/platform_format_steps.py
+++ b/features/steps/platform_format_steps.py
@@ -1,17 +1,23 @@
 """Steps for the settings file, requests and responses of the platform."""
 
+from collections.abc import Callable
 from datetime import timedelta
+from json import dumps
 from os import environ
 from pathlib import Path
 from subprocess import run
 from sys import executable
+from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
 from expression import Result
+from hypothesis import given as given_data, settings, strategies
 
 from lovagetray._types import Address
 from lovagetray.platform.formats import (
+    decode_document,
+    decode_notice,
     decode_reply,
     decode_request,
     read_settings,
@@ -38,6 +44,52 @@
 """
 
 
+_NOTICE: dict[str, Any] = {
+    "Service": "s",
+    "Address": "10.0.0.1:80",
+    "Zone": "z",
+    "Slots": 5,
+    "State": "ready",
+    "Sequence": 1,
+    "born": 5,
+    "WarmupLeftMs": 0,
+}
+_ROUTE: dict[str, Any] = {
+    "Name": "r",
+    "Host": "h",
+    "PathPrefix": "/",
+    "RouteType": "safe",
+    "TimeoutMs": 100,
+    "Service": "s",
+}
+_DOCUMENT: dict[str, Any] = {
+    "Version": 1,
+    "Routes": [_ROUTE],
+    "Services": [{"Name": "s"}],
+    "Limits": {},
+}
+_LONG_NUMBER = 10**30
+_NOTICE_CHANGES: dict[str, dict[str, Any]] = {
+    "the port 0": {"Address": "10.0.0.1:0"},
+    "the port 70000": {"Address": "10.0.0.1:70000"},
+    "a port of 5,000 digits": {"Address": "10.0.0.1:" + "9" * 5000},
+    "a host of 70,000 letters": {"Address": "a" * 70_000 + ":80"},
+    "the host of a group": {"Address": "224.0.0.1:80"},
+    "no host": {"Address": "0.0.0.0:80"},
+    "a warm-up of 1e300 ms": {"WarmupLeftMs": 1e300},
+    "a sequence of 31 digits": {"Sequence": _LONG_NUMBER},
+    "a start time of 31 digits": {"born": _LONG_NUMBER},
+    "1e18 slots": {"Slots": 10**18},
+    "a negative sequence": {"Sequence": -1},
+}
+_DOCUMENT_CHANGES: dict[str, dict[str, Any]] = {
+    "a time limit of 1e300 ms": {"Routes": [_ROUTE | {"TimeoutMs": 1e300}]},
+    "a negative time limit": {"Routes": [_ROUTE | {"TimeoutMs": -1}]},
+    "an idle time of 1e300 ms": {"Limits": {"IdleTimeoutMs": 1e300}},
+    "a version of 31 digits": {"Version": _LONG_NUMBER},
+}
+
+
 @given("the settings file of a gateway")
 def write_settings(context: Context) -> None:
     context.path = context.folder / "settings.toml"
@@ -161,6 +213,111 @@
     assert load is not None and (load.running, load.waiting, load.slots) == (3, 1, 8)
 
 
+@then("a response with Server-Leaving states that the replica is leaving")
+def check_leaving(context: Context) -> None:
+    assert decode_reply(200, ((b"Server-Leaving", b"1"),), b"").leaving
+    assert decode_reply(500, ((b"server-leaving", b"1"),), b"").leaving
+    assert not decode_reply(200, (), b"").leaving
+
+
+@then("the seconds of Retry-After count for status 503 alone, if they are a number")
+def check_refusal_time(context: Context) -> None:
+    def refuses_for(status: int, value: bytes) -> timedelta | None:
+        return decode_reply(status, ((b"Retry-After", value),), b"").refuses_for
+
+    assert refuses_for(503, b"1.5") == timedelta(seconds=1.5)
+    assert refuses_for(429, b"1.5") is None
+    for value in (b"", b"soon", b"-1", b"0", b"nan"):
+        assert refuses_for(503, value) is None, value
+    for value in (b"1e400", b"inf", b"9" * 400):
+        longest = refuses_for(503, value)
+        assert longest is not None and longest <= timedelta(hours=1), value
+
+
+@when("a notice has {change}")
+def change_notice(context: Context, change: str) -> None:
+    replica, body = "i-1", dumps(_NOTICE | _NOTICE_CHANGES.get(change, {})).encode()
+    match change:
+        case "5,000 nested lists":
+            body = body[:-1] + b',"x":' + b"[" * 5_000 + b"]" * 5_000 + b"}"
+        case "1,000,000 nested objects":
+            body = body[:-1] + b',"x":' + b'{"x":' * 1_000_000
+        case "a replica id of 5,000 letters":
+            replica = "i" * 5_000
+        case _:
+            assert change in _NOTICE_CHANGES, change
+    assert decode_notice("i-1", dumps(_NOTICE).encode()).is_ok()
+    context.decoded = decode_notice(replica, body)
+
+
+@when("a configuration has {change}")
+def change_document(context: Context, change: str) -> None:
+    body = dumps(_DOCUMENT | _DOCUMENT_CHANGES.get(change, {})).encode()
+    if change == "5,000 nested lists":
+        body = body[:-1] + b',"x":' + b"[" * 5_000 + b"]" * 5_000 + b"}"
+    else:
+        assert change in _DOCUMENT_CHANGES, change
+    assert decode_document(dumps(_DOCUMENT).encode()).is_ok()
+    context.decoded = decode_document(body)
+
+
+@then("the notice is refused as unreadable")
+@then("the configuration is refused as unreadable")
+def check_unreadable(context: Context) -> None:
+    match context.decoded:
+        case Result(tag="error", error=failure):
+            assert failure.code.startswith("unreadable_"), failure
+        case valid:
+            raise AssertionError(valid)
+
+
+@then("decoding any bytes as a notice, configuration or response returns a result")
+def fuzz_decoders(context: Context) -> None:
+    scalars = (
+        strategies.none()
+        | strategies.booleans()
+        | strategies.integers()
+        | strategies.floats(allow_nan=False, allow_infinity=False)
+        | strategies.text()
+    )
+    values = strategies.recursive(scalars, lambda inner: strategies.lists(inner))
+
+    def changed(base: dict[str, Any]) -> strategies.SearchStrategy[bytes]:
+        changes = strategies.dictionaries(strategies.sampled_from(sorted(base)), values)
+        return changes.map(lambda change: dumps(base | change).encode())
+
+    def check(decode: Callable[[bytes], Any], body: bytes) -> None:
+        assert isinstance(decode(body), Result), body
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given_data(strategies.binary() | changed(_NOTICE))
+    def check_notice(body: bytes) -> None:
+        check(lambda raw: decode_notice("i-1", raw), body)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given_data(
+        strategies.binary()
+        | changed(_DOCUMENT)
+        | changed(_ROUTE).map(lambda route: b'{"Version":1,"Routes":[' + route + b"]}")
+    )
+    def check_document(body: bytes) -> None:
+        check(decode_document, body)
+
+    names = strategies.sampled_from(
+        (b"Server-Load", b"Retry-After", b"Request-Id", b"Server-Stamp", b"X")
+    )
+    headers = strategies.lists(strategies.tuples(names, strategies.binary()))
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given_data(strategies.integers(100, 599), headers.map(tuple))
+    def check_reply(status: int, raw_headers: Any) -> None:
+        assert decode_reply(status, raw_headers, b"").status == status
+
+    check_notice()
+    check_document()
+    check_reply()
+
+
 def _replace(path: Path, old: str, new: str) -> None:
     text = path.read_text()
     assert old in text
--- a/features/steps/replica_directory_steps.py
+++ b/features/steps/replica_directory_steps.py
@@ -7,7 +7,12 @@
 from behave.runner import Context
 from fakes.replica_script import make_notice
 
-from lovagetray._routing_types import NoticeVersion, ReplicaNotice, ReplicaState
+from lovagetray._routing_types import (
+    NoticeVersion,
+    ReplicaNotice,
+    ReplicaRun,
+    ReplicaState,
+)
 from lovagetray.state import ReplicaDirectory
 
 _LIFETIME = timedelta(seconds=7)
@@ -37,6 +42,11 @@
     context.directory.accept(_parse(text), context.now)
 
 
+@when("{replica} states in a response of the run born {born:d} that it is leaving")
+def mark_leaving(context: Context, replica: str, born: int) -> None:
+    context.directory.mark_leaving(ReplicaRun(replica, born))
+
+
 @when("{seconds:d} seconds pass")
 def pass_time(context: Context, seconds: int) -> None:
     context.now += timedelta(seconds=seconds)
--- a/src/lovagetray/_peer_messages.py
+++ b/src/lovagetray/_peer_messages.py
@@ -12,7 +12,12 @@
     Proposal,
     Voter,
 )
-from lovagetray._routing_types import NoticeVersion, RepeatedNotice, ReplicaNotice
+from lovagetray._routing_types import (
+    NoticeVersion,
+    RepeatedNotice,
+    ReplicaNotice,
+    ReplicaRun,
+)
 from lovagetray._types import (
     Announcement,
     ExecuteReply,
@@ -135,13 +140,20 @@
 
 
 class VoteReply(Struct, frozen=True):
-    """A reply to a vote request for `ballot_term`; `term` is that of the sender."""
+    """A reply to a vote request for `ballot_term`; `term` is that of the sender.
+
+    Parameters
+    ----------
+    live
+        Names on the newest live list that the sender received.
+    """
 
     term: int
     ballot_term: int
     voter: Voter
     pre_vote: bool
     granted: bool
+    live: tuple[str, ...] = ()
 
 
 class AppendEntries(Struct, frozen=True):
@@ -286,6 +298,12 @@
     replicas: tuple[str, ...]
 
 
+class ReplicasLeaving(Struct, frozen=True):
+    """Runs of replicas that stated in a response that they are leaving."""
+
+    runs: tuple[ReplicaRun, ...]
+
+
 class NoticesSeen(Struct, frozen=True):
     """Confirmation of the message of the receiver that has this number."""
 
@@ -320,6 +338,7 @@
     | ReplicaNotices
     | ReplicasHeard
     | ReplicasLeft
+    | ReplicasLeaving
     | NoticesSeen
     | NoticeDigest
     | KnownInstances
--- a/src/lovagetray/_routing_types.py
+++ b/src/lovagetray/_routing_types.py
@@ -171,6 +171,13 @@
     order: tuple[int, bool, int]
 
 
+class ReplicaRun(NamedTuple):
+    """One run of a replica; `born` is its start time in Unix milliseconds."""
+
+    replica: str
+    born: int
+
+
 class RepeatedNotice(NamedTuple):
     """A notice that a replica repeated.
 
@@ -235,6 +242,11 @@
         Whether the replica states that it did not run the request.
     encoded
         Whether the body has a content encoding that was not requested.
+    leaving
+        Whether the replica states that it is leaving.
+    refuses_for
+        Time for which the replica wants no requests from this instance; None if it
+        states none.
     """
 
     status: int
@@ -245,6 +257,8 @@
     not_run: bool
     encoded: bool
     load: ReplicaLoad | None
+    leaving: bool = False
+    refuses_for: timedelta | None = None
 
     @property
     def succeeded(self) -> bool:
--- a/src/lovagetray/_target_errors.py
+++ b/src/lovagetray/_target_errors.py
@@ -35,6 +35,26 @@
         return f"the connection to replica {self.target!r} was lost"
 
 
+class NotSent(Struct, frozen=True):
+    """A request that was dropped before it was sent, because its replica left."""
+
+    code: ClassVar[str] = "not_sent"
+    target: str
+
+    def __str__(self) -> str:
+        return f"the request was not sent, as replica {self.target!r} takes no more"
+
+
+class ResponseTooLarge(Struct, frozen=True):
+    """A response that exceeds the limits for its head, body or number of parts."""
+
+    code: ClassVar[str] = "response_too_large"
+    target: str
+
+    def __str__(self) -> str:
+        return f"replica {self.target!r} sent more than a response may have"
+
+
 class NoReply(Struct, frozen=True):
     """The lack of a reply from a replica within the time limit of the exchange."""
 
--- a/src/lovagetray/_types.py
+++ b/src/lovagetray/_types.py
@@ -2,8 +2,14 @@
 
 from datetime import timedelta
 from enum import Enum
+from socket import AF_INET, inet_pton
 from typing import NamedTuple
 
+_MAX_PORT = 65535
+# Longest host name of the domain name system; addresses are shorter.
+_MAX_HOST_LENGTH = 253
+_FIRST_MULTICAST_OCTET = 224
+
 
 class Address(NamedTuple):
     """An IP address and a TCP port."""
@@ -21,15 +27,28 @@
         Raises
         ------
         ValueError
-            If the text has another form.
+            If the text has another form, or the port is not from 1 to 65535.
         """
         host, _, port = text.rpartition(":")
         # `isdigit` alone also accepts superscripts, which `int` does not.
-        if not host or not (port.isascii() and port.isdigit()):
-            raise ValueError(f"{text!r} is not host:port")
+        if not 0 < len(host) <= _MAX_HOST_LENGTH or not (
+            port.isascii() and port.isdigit()
+        ):
+            raise ValueError(f"{text[:80]!r} is not host:port")
+        if len(port) > len(str(_MAX_PORT)) or not 1 <= int(port) <= _MAX_PORT:
+            raise ValueError(f"the port of {text[:80]!r} is not from 1 to {_MAX_PORT}")
         return cls(host, int(port))
 
 
+def is_host_address(host: str) -> bool:
+    """Return whether a text is the IPv4 address of a single host."""
+    try:
+        octets = inet_pton(AF_INET, host)
+    except (OSError, ValueError):
+        return False
+    return 0 < octets[0] < _FIRST_MULTICAST_OCTET
+
+
 class InstanceId(NamedTuple):
     """Identity of one run of an instance; a restart has another incarnation."""
 
--- a/src/lovagetray/cli/_admin.py
+++ b/src/lovagetray/cli/_admin.py
@@ -184,6 +184,6 @@
         if response.status == 200:
             return Ok(decode(response.body, type=document_type))
         refusal = decode(response.body, type=SettingsFailureDocument)
-    except (DecodeError, ValidationError, UnicodeDecodeError) as error:
+    except (DecodeError, ValidationError, UnicodeDecodeError, RecursionError) as error:
         return Error(UnreadableReply(f"the reply cannot be read: {error}"))
     return Error(AdminRefusal(response.status, refusal))
--- a/src/lovagetray/cli/_caller.py
+++ b/src/lovagetray/cli/_caller.py
@@ -156,5 +156,5 @@
 ) -> Result[AddressesDocument, MalformedRequest]:
     try:
         return Ok(_addresses_decoder.decode(response.body))
-    except (DecodeError, ValidationError, UnicodeDecodeError) as error:
+    except (DecodeError, ValidationError, UnicodeDecodeError, RecursionError) as error:
         return Error(MalformedRequest(str(error)))
--- a/src/lovagetray/commands/discovery/_replica_gossip.py
+++ b/src/lovagetray/commands/discovery/_replica_gossip.py
@@ -18,10 +18,11 @@
     PeerMessage,
     ReplicaNotices,
     ReplicasHeard,
+    ReplicasLeaving,
     ReplicasLeft,
 )
 from lovagetray._routing_errors import NoticeUnconfirmed
-from lovagetray._routing_types import ReplicaNotice, ReplicaState
+from lovagetray._routing_types import ReplicaNotice, ReplicaRun, ReplicaState
 from lovagetray.state import Members, ReplicaDirectory
 
 _log = get_logger()
@@ -42,7 +43,12 @@
 _NO_AGE = timedelta(0)
 
 ReplicaGossipMessage = (
-    ReplicaNotices | ReplicasHeard | ReplicasLeft | NoticesSeen | NoticeDigest
+    ReplicaNotices
+    | ReplicasHeard
+    | ReplicasLeft
+    | ReplicasLeaving
+    | NoticesSeen
+    | NoticeDigest
 )
 
 
@@ -131,6 +137,17 @@
             replica, ReplicasLeft(self._last_message_number, (replica,))
         )
 
+    async def report_leaving(self, notice: ReplicaNotice) -> None:
+        """Stop using a replica that states in a response that it is leaving.
+
+        The other instances are told, because a request of theirs may be the first that
+        the replica answers in this state after its time for draining has ended.
+        """
+        run = ReplicaRun(notice.replica, notice.born)
+        if self._directory.mark_leaving(run):
+            _log.info("replica_leaving", replica=notice.replica, service=notice.service)
+            await self._transport.broadcast(ReplicasLeaving((run,)))
+
     async def receive(self, sender: str, message: ReplicaGossipMessage) -> None:
         """Handle a message from another instance."""
         now = self._clock.monotonic_time()
@@ -150,6 +167,9 @@
                 for replica in replicas:
                     self._directory.leave(replica, now)
                 await self._transport.send(sender, NoticesSeen(number))
+            case ReplicasLeaving(runs=runs):
+                for run in runs:
+                    self._directory.mark_leaving(run)
             case NoticesSeen(number=number):
                 await self._record_confirmation(sender, number)
             case NoticeDigest(runs=versions):
--- a/src/lovagetray/commands/forwarding/_forward.py
+++ b/src/lovagetray/commands/forwarding/_forward.py
@@ -41,9 +41,10 @@
     started_at = clock.monotonic_time()
     timeout = request.timeout_for(route)
     if not dependencies.balancer.count_reachable((service,)):
-        return Error(
-            RequestNotRun("no replica can be reached", _RETRY_AFTER_UNREACHABLE)
+        retry_after = max(
+            _RETRY_AFTER_UNREACHABLE, dependencies.balancer.refused_for((service,), 1)
         )
+        return Error(RequestNotRun("no replica can be reached", retry_after))
     dispatch = Dispatch(dependencies, request, route, (service,), started_at + timeout)
     try:
         await dispatch.start()
@@ -54,7 +55,8 @@
         await dispatch.abandon()
     call = dispatch.calls[0]
     took = clock.monotonic_time() - started_at
-    result = _result_of(call, dispatch, timeout)
+    refused_for = dependencies.balancer.refused_for((service,), 1)
+    result = _result_of(call, dispatch, timeout, refused_for)
     _log.info(
         "request_ended",
         request_id=request.request_id,
@@ -89,16 +91,15 @@
 
 
 def _result_of(
-    call: ServiceCall, dispatch: Dispatch, timeout: timedelta
+    call: ServiceCall, dispatch: Dispatch, timeout: timedelta, refused_for: timedelta
 ) -> Result[ReplicaReply, ForwardFailure]:
     if call.reply is not None:
         return Ok(call.reply)
     if call.failure_reply is not None:
         return Ok(call.failure_reply)
     if not dispatch.may_have_run:
-        return Error(
-            RequestNotRun("no replica accepted the request", _RETRY_AFTER_REFUSAL)
-        )
+        retry_after = max(_RETRY_AFTER_REFUSAL, refused_for)
+        return Error(RequestNotRun("no replica accepted the request", retry_after))
     if call.in_flight:
         return Error(TimeLimitReached(timeout))
     return Error(RequestFailed("the connection to the replica was lost"))
--- a/src/lovagetray/gateway/_dispatcher.py
+++ b/src/lovagetray/gateway/_dispatcher.py
@@ -5,7 +5,12 @@
 from expression import Error, Result
 from structlog import get_logger
 
-from lovagetray._routing_errors import ForwardFailure, NoRoute, NotStarted
+from lovagetray._routing_errors import (
+    ForwardFailure,
+    NoRoute,
+    NotStarted,
+    RequestFailed,
+)
 from lovagetray._routing_types import (
     CallerRequest,
     GatherShards,
@@ -13,6 +18,7 @@
     ReplicaReply,
     TrafficSplit,
 )
+from lovagetray._task_failures import report_task_failure
 from lovagetray._telemetry import GATEWAY_SECONDS, GATEWAY_SHARDS
 from lovagetray.commands.forwarding import WeightedRoundRobin, forward
 from lovagetray.queries.dispatch import DispatchDependencies
@@ -48,7 +54,12 @@
     ) -> Result[ReplicaReply | GatheredAnswer, ForwardFailure]:
         """Return the response to a request, or why there is none."""
         started_at = self._dependencies.clock.monotonic_time()
-        result = await self._answer(request)
+        try:
+            result = await self._answer(request)
+        except Exception as error:
+            # The request may have run; the caller still gets an answer at once.
+            report_task_failure("request", error)
+            result = Error(RequestFailed("an internal error"))
         took = (self._dependencies.clock.monotonic_time() - started_at).total_seconds()
         match result:
             case Result(
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from random import Random, SystemRandom
 from signal import SIGHUP, SIGINT, SIGTERM, Signals
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from curio import CurioError, Queue, TaskGroup
 from expression import Result
@@ -24,6 +24,7 @@
     NoticesSeen,
     ReplicaNotices,
     ReplicasHeard,
+    ReplicasLeaving,
     ReplicasLeft,
 )
 from lovagetray._routing_errors import (
@@ -39,7 +40,9 @@
     ReplicaReply,
     RoutingDocument,
 )
+from lovagetray._settings_errors import InvalidSettings
 from lovagetray._signals import SignalListener
+from lovagetray._task_failures import run_restarting
 from lovagetray._telemetry import (
     AGREEMENT_LEADS,
     AGREEMENT_TERM,
@@ -261,7 +264,7 @@
     async def run(
         self,
         servers: Callable[["Gateway"], tuple[CallerFrontend, list[ControlServer]]],
-        reload: Callable[[], GatewaySettings | None],
+        reload: Callable[[], Result[GatewaySettings, InvalidSettings]],
     ) -> int:
         """Serve until SIGTERM or SIGINT; return the exit code.
 
@@ -270,7 +273,7 @@
         servers
             Returns the server of callers and the control servers for this gateway.
         reload
-            Returns the current settings from the settings file; None if unreadable.
+            Returns the settings in the settings file, or why it is unreadable.
         """
         signals = SignalListener((SIGTERM, SIGINT, SIGHUP))
         tree = SettingsState(self._violations)
@@ -303,6 +306,7 @@
                 self._formats.decode_reply,
                 group,
                 self._connections.limits,
+                self._balancer.accepts,
             )
             self._connection_pool = connection_pool
             dependencies = DispatchDependencies(
@@ -310,6 +314,7 @@
                 connection_pool,
                 self._formats.encode_request,
                 self._clock,
+                self._replica_gossip.report_leaving,
             )
             self._dispatcher = Dispatcher(self._routing, dependencies)
             frontend, control_servers = servers(self)
@@ -319,13 +324,22 @@
             events = Queue()
             await group.spawn(self._run_agreement, events)
             await group.spawn(_receive_signals, signals, events)
-            await group.spawn(self._replica_gossip.run)
-            await group.spawn(connection_pool.run, self._connections.has_ended)
-            await group.spawn(
-                self._connections.keep_warm, connection_pool, lambda: self.ready
-            )
-            await group.spawn(self._instances.gossip)
-            await group.spawn(self._instances.follow_live_list)
+            endless: dict[str, tuple[Callable[..., Awaitable[None]], tuple[Any, ...]]]
+            endless = {
+                "replica_gossip": (self._replica_gossip.run, ()),
+                "connection_pool": (
+                    connection_pool.run,
+                    (self._connections.has_ended,),
+                ),
+                "keep_warm": (
+                    self._connections.keep_warm,
+                    (connection_pool, lambda: self.ready),
+                ),
+                "instance_gossip": (self._instances.gossip, ()),
+                "live_list": (self._instances.follow_live_list, ()),
+            }
+            for name, (work, arguments) in endless.items():
+                await group.spawn(run_restarting, name, self._clock, work, *arguments)
             for server in control_servers:
                 await group.spawn(server.run)
             await group.spawn(self._start_serving, frontend.run)
@@ -403,12 +417,17 @@
             await self._clock.sleep(_POLL_INTERVAL)
         _log.info("gateway_stopped")
 
-    async def _reload(self, settings: GatewaySettings | None) -> None:
-        if settings is None:
-            return
-        _log.info("settings_reloaded", seeds=[str(seed) for seed in settings.seeds])
-        for seed in settings.seeds:
-            await self._instances.add_peer(str(seed), seed)
+    async def _reload(self, read: Result[GatewaySettings, InvalidSettings]) -> None:
+        match read:
+            case Result(tag="ok", ok=settings):
+                _log.info(
+                    "settings_reloaded", seeds=[str(seed) for seed in settings.seeds]
+                )
+                for seed in settings.seeds:
+                    await self._instances.add_peer(str(seed), seed)
+            case Result(error=failure):
+                # The settings in force stay; the file may be half written.
+                _log.warning("settings_unreadable", reason=str(failure))
 
     async def _receive(self, envelope: Envelope) -> None:
         now = self._clock.monotonic_time()
@@ -423,6 +442,7 @@
                 ReplicaNotices()
                 | ReplicasHeard()
                 | ReplicasLeft()
+                | ReplicasLeaving()
                 | NoticesSeen()
                 | NoticeDigest() as message
             ):
--- a/src/lovagetray/gateway/_replica_connections.py
+++ b/src/lovagetray/gateway/_replica_connections.py
@@ -53,13 +53,16 @@
             self.settings.data_centre,
         )
 
-    def has_ended(self, replica: str) -> bool:
-        """Return whether a replica is no longer used; if so, discard its statistics."""
-        notice = self.directory.find(replica)
-        if notice is not None and notice.state is not ReplicaState.LEFT:
-            return False
-        self.balancer.remove_stats(replica)
-        return True
+    def has_ended(self, notice: ReplicaNotice) -> bool:
+        """Return whether a replica is no longer used at the address of a notice.
+
+        If it is not used at any address, its statistics are discarded.
+        """
+        known = self.directory.find(notice.replica)
+        if known is None or known.state is ReplicaState.LEFT:
+            self.balancer.remove_stats(notice.replica)
+            return True
+        return known.address != notice.address
 
     async def keep_warm(
         self, connection_pool: ConnectionPool, ready: Callable[[], bool]
--- a/src/lovagetray/platform/_replica_codec.py
+++ b/src/lovagetray/platform/_replica_codec.py
@@ -7,6 +7,11 @@
 
 _MILLISECOND = timedelta(milliseconds=1)
 _STATUS_MISDIRECTED = 421
+_STATUS_UNAVAILABLE = 503
+# Higher figures in a load report are errors of the replica and would exceed a float.
+_MAX_LOAD_DIGITS = 9
+# Longest time for which a replica may ask for no requests; a faulty one asks for more.
+_MAX_REFUSAL_SECONDS = 600.0
 
 
 def _encode_shared(request: CallerRequest) -> tuple[bytes, bytes]:
@@ -36,8 +41,9 @@
     """Return a replica's complete response, with the values of its known headers."""
     request_id = response_id = ""
     not_run = status == _STATUS_MISDIRECTED
-    encoded = False
+    encoded = leaving = False
     load = None
+    refuses_for = None
     for name, value in headers:
         match name.lower():
             case b"server-stamp":
@@ -50,19 +56,43 @@
                 not_run = True
             case b"content-encoding":
                 encoded = True
+            case b"server-leaving":
+                leaving = value.strip() == b"1"
+            case b"retry-after" if status == _STATUS_UNAVAILABLE:
+                refuses_for = _decode_refusal_time(value)
     return ReplicaReply(
-        status, headers, body, request_id, response_id, not_run, encoded, load
+        status,
+        headers,
+        body,
+        request_id,
+        response_id,
+        not_run,
+        encoded,
+        load,
+        leaving,
+        refuses_for,
     )
 
 
+def _decode_refusal_time(value: bytes) -> timedelta | None:
+    """Return the seconds in a ``Retry-After`` header, or None if it is malformed."""
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    if not seconds > 0:
+        return None
+    return timedelta(seconds=min(seconds, _MAX_REFUSAL_SECONDS))
+
+
 def _decode_load(value: bytes) -> ReplicaLoad | None:
     """Return the load in a ``Server-Load`` header, or None if it is malformed.
 
     Its first three fields are running requests, waiting requests and slots.
     """
-    fields = value.split(b",")
-    try:
-        running, waiting, slots = (int(text) for text in fields[:3])
-    except ValueError:
+    fields = [text.strip() for text in value.split(b",")[:3]]
+    if len(fields) < 3 or not all(
+        text.isdigit() and len(text) <= _MAX_LOAD_DIGITS for text in fields
+    ):
         return None
-    return ReplicaLoad(running, waiting, slots)
+    return ReplicaLoad(*map(int, fields))
--- a/src/lovagetray/platform/_routing_document.py
+++ b/src/lovagetray/platform/_routing_document.py
@@ -1,9 +1,10 @@
 """Decoding of the routing document that an operator provides."""
 
 from datetime import timedelta
+from typing import Annotated
 
 from expression import Error, Ok, Result
-from msgspec import DecodeError, Struct, ValidationError, field
+from msgspec import DecodeError, Meta, Struct, ValidationError, field
 from msgspec.json import Decoder
 
 from lovagetray._routing_errors import UnreadableDocument
@@ -24,6 +25,10 @@
     "safe": RetrySafety.IDEMPOTENT,
     "unsafe": RetrySafety.AT_MOST_ONCE,
 }
+# A timedelta cannot hold longer times, nor can messages between instances hold larger
+# counts.
+_Milliseconds = Annotated[float, Meta(ge=0, le=365 * 24 * 60 * 60 * 1000)]
+_Count = Annotated[int, Meta(ge=0, le=2**53)]
 
 
 class _WeightedService(Struct):
@@ -36,14 +41,14 @@
     host: str = field(name="Host")
     prefix: str = field(name="PathPrefix")
     retry_safety: str = field(name="RouteType")
-    timeout_ms: float = field(name="TimeoutMs")
-    target_latency_ms: float = field(name="TargetLatencyMs", default=0)
+    timeout_ms: _Milliseconds = field(name="TimeoutMs")
+    target_latency_ms: _Milliseconds = field(name="TargetLatencyMs", default=0)
     priority: int = field(name="Priority", default=0)
     max_attempts: int = field(name="MaxAttempts", default=1)
     service: str | None = field(name="Service", default=None)
     split: list[_WeightedService] | None = field(name="TrafficSplit", default=None)
     shards: list[str] | None = field(name="Gather", default=None)
-    top_k: int = field(name="TopK", default=0)
+    top_k: _Count = field(name="TopK", default=0)
     min_coverage: float = field(name="MinCoverage", default=1.0)
 
 
@@ -54,14 +59,14 @@
 
 
 class _Limits(Struct):
-    head_bytes: int = field(name="MaxHeaderBytes", default=16_384)
-    body_bytes: int = field(name="MaxBodyBytes", default=262_144)
-    request_ms: float = field(name="HeaderTimeoutMs", default=3_000)
-    idle_ms: float = field(name="IdleTimeoutMs", default=15_000)
+    head_bytes: _Count = field(name="MaxHeaderBytes", default=16_384)
+    body_bytes: _Count = field(name="MaxBodyBytes", default=262_144)
+    request_ms: _Milliseconds = field(name="HeaderTimeoutMs", default=3_000)
+    idle_ms: _Milliseconds = field(name="IdleTimeoutMs", default=15_000)
 
 
 class _Document(Struct):
-    version: int = field(name="Version")
+    version: _Count = field(name="Version")
     routes: list[_Route] = field(name="Routes")
     services: list[_Service] = field(name="Services")
     limits: _Limits = field(name="Limits", default_factory=_Limits)
@@ -75,7 +80,7 @@
     try:
         document = _decoder.decode(source)
         routes = tuple(_to_route(route) for route in document.routes)
-    except (DecodeError, ValidationError, ValueError) as error:
+    except (DecodeError, ValidationError, ValueError, RecursionError) as error:
         return Error(UnreadableDocument(str(error)))
     limits = document.limits
     return Ok(
--- a/src/lovagetray/platform/run.py
+++ b/src/lovagetray/platform/run.py
@@ -10,6 +10,7 @@
 from lovagetray._clock import SystemClock
 from lovagetray._gateway_settings import GatewaySettings
 from lovagetray._log_stream import LogStream
+from lovagetray._settings_errors import InvalidSettings
 from lovagetray._telemetry import configure_logging
 from lovagetray._types import Address
 from lovagetray.gateway import CallerFrontend, ControlServer, Gateway, GatewayFormats
@@ -51,8 +52,8 @@
     formats = GatewayFormats(decode_document, replica_encoder, decode_reply)
     gateway = Gateway(settings, formats, SystemClock(), process_started_at)
 
-    def reload_settings() -> GatewaySettings | None:
-        return read_settings(settings_path).default_value(None)
+    def reload_settings() -> Result[GatewaySettings, InvalidSettings]:
+        return read_settings(settings_path)
 
     code: int = run(gateway.run, _create_servers, reload_settings)
     return code
--- a/src/lovagetray/queries/dispatch/_dispatch.py
+++ b/src/lovagetray/queries/dispatch/_dispatch.py
@@ -5,7 +5,7 @@
 stop waiting.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import NamedTuple
@@ -20,7 +20,7 @@
     RetrySafety,
     Route,
 )
-from lovagetray._target_errors import ConnectFailed, ConnectionLost
+from lovagetray._target_errors import ConnectFailed, ConnectionLost, NotSent
 from lovagetray._telemetry import DISPATCH_ATTEMPTS
 from lovagetray.queries.load_balancing import LoadBalancer
 from lovagetray.targets import ConnectionPool, Exchange, Outcome
@@ -70,12 +70,15 @@
         Encodes requests.
     clock
         Source of monotonic time and timeouts.
+    report_leaving
+        Called with the notice of a replica whose response states that it is leaving.
     """
 
     balancer: LoadBalancer
     connection_pool: ConnectionPool
     encoder: RequestEncoder
     clock: Clock
+    report_leaving: Callable[[ReplicaNotice], Awaitable[None]]
 
 
 @dataclass(slots=True, eq=False)
@@ -240,6 +243,14 @@
 
     async def deliver(self, exchange: Exchange, outcome: Outcome) -> None:
         """Process the outcome of an exchange; called by the task of its connection."""
+        match outcome:
+            # These hold for later requests even if this one is abandoned.
+            case ReplicaReply(leaving=True):
+                await self._dependencies.report_leaving(exchange.notice)
+            case ReplicaReply(refuses_for=timedelta() as refuses_for):
+                self._dependencies.balancer.record_refusal(
+                    exchange.notice.replica, refuses_for
+                )
         call = self._call_of.pop(exchange, None)
         if call is None:
             return
@@ -257,14 +268,20 @@
                 balancer.record_connect_failed(replica)
                 call.attempts -= 1
                 await self._record_failure(call)
+            case NotSent() as failure:
+                call.last_failure = failure.code
+                call.attempts -= 1
+                await self._record_failure(call)
             case ConnectionLost() as failure:
                 call.last_failure = failure.code
                 call.may_have_run = True
                 if exchange.abandoned_at is None:
                     balancer.record_connection_lost(replica)
                 await self._record_failure(call)
-            case _:
+            case failure:
+                call.last_failure = failure.code
                 call.may_have_run = True
+                balancer.record_connection_lost(replica)
                 await self._record_failure(call)
 
     async def _process_reply(self, call: ServiceCall, reply: ReplicaReply) -> None:
--- a/src/lovagetray/queries/gathering/_gather.py
+++ b/src/lovagetray/queries/gathering/_gather.py
@@ -1,6 +1,7 @@
 """Scatter/gather: sends a query to all shards of a route and merges the answers."""
 
 from datetime import timedelta
+from math import ceil
 from typing import NamedTuple
 
 from expression import Error, Ok, Result
@@ -72,7 +73,8 @@
     timeout = request.timeout_for(route)
     reachable = dependencies.balancer.count_reachable(destination.shards)
     if not _is_sufficient(reachable, destination):
-        return Error(RequestNotRun("too few shards are reachable", _RETRY_AFTER))
+        retry_after = _retry_after(dependencies, destination)
+        return Error(RequestNotRun("too few shards are reachable", retry_after))
     policy = completion_policy(started_at, route.target_latency, timeout)
     dispatch = Dispatch(
         dependencies, request, route, destination.shards, started_at + timeout
@@ -137,11 +139,21 @@
         response_ids = tuple(reply.response_id for reply in replies)
         return Ok(GatheredAnswer(response_ids, missing, records))
     if not dispatch.may_have_run:
-        return Error(RequestNotRun("no replica accepted the request", _RETRY_AFTER))
+        retry_after = _retry_after(dependencies, destination)
+        return Error(RequestNotRun("no replica accepted the request", retry_after))
     if took >= timeout * 0.9:
         return Error(TimeLimitReached(timeout))
     return Error(RequestFailed(f"{missing} of {len(dispatch.calls)} shards failed"))
 
 
+def _retry_after(
+    dependencies: DispatchDependencies, destination: GatherShards
+) -> timedelta:
+    """Return the time after which enough shards may take requests again."""
+    needed = ceil(len(destination.shards) * destination.min_coverage)
+    refused_for = dependencies.balancer.refused_for(destination.shards, needed)
+    return max(_RETRY_AFTER, refused_for)
+
+
 def _milliseconds(duration: timedelta) -> float:
     return round(duration.total_seconds() * 1000, 1)
--- a/src/lovagetray/queries/load_balancing/_choose.py
+++ b/src/lovagetray/queries/load_balancing/_choose.py
@@ -70,7 +70,7 @@
     Returns
     -------
     ReplicaNotice or None
-        None if all candidates were tried or there are none.
+        None if all candidates were tried or refuse requests, or there are none.
     """
     best: ReplicaNotice | None = None
     best_cost = 0.0
@@ -78,6 +78,8 @@
         if notice.replica in tried:
             continue
         stats = stats_of(notice.replica)
+        if now < stats.refuses_until:
+            continue
         cost = replica_cost(notice, stats, hedge_delay, data_centre, now)
         cost *= 1 + _COST_NOISE * random.random()
         cost += _AVAILABILITY_PENALTY[availability_of(notice, now)]
--- a/src/lovagetray/queries/load_balancing/_load_balancer.py
+++ b/src/lovagetray/queries/load_balancing/_load_balancer.py
@@ -120,10 +120,42 @@
 
     def _is_reachable(self, service: str, now: timedelta) -> bool:
         for notice in self._directory.usable(service, now):
-            if self.replica_stats(notice.replica).backoff_until <= now:
+            stats = self.replica_stats(notice.replica)
+            if max(stats.backoff_until, stats.refuses_until) <= now:
                 return True
         return False
 
+    def accepts(self, notice: ReplicaNotice) -> bool:
+        """Return whether a replica, at the address of a notice, takes requests now."""
+        stats = self._replicas.get(notice.replica)
+        if stats and self._clock.monotonic_time() < stats.refuses_until:
+            return False
+        return self._directory.is_usable(notice)
+
+    def refused_for(self, services: Iterable[str], needed: int) -> timedelta:
+        """Return the time until enough services have a replica that takes requests.
+
+        Services without any usable replica are left out, because nothing says when they
+        will have one.
+
+        Parameters
+        ----------
+        needed
+            Number of services that must have such a replica.
+        """
+        now = self._clock.monotonic_time()
+        waits = sorted(
+            min(
+                max(
+                    self.replica_stats(notice.replica).refuses_until - now, timedelta(0)
+                )
+                for notice in usable
+            )
+            for usable in (self._directory.usable(name, now) for name in services)
+            if usable
+        )
+        return waits[min(max(needed, 1), len(waits)) - 1] if waits else timedelta(0)
+
     def record_sent(self, replica: str, token: object, now: timedelta) -> None:
         """Record the start of an exchange, identified by `token`."""
         self.replica_stats(replica).in_flight[token] = now
@@ -152,6 +184,11 @@
         else:
             stats.record_failure(now)
 
+    def record_refusal(self, replica: str, refuses_for: timedelta) -> None:
+        """Record that a replica wants no requests for a time."""
+        now = self._clock.monotonic_time()
+        self.replica_stats(replica).record_refusal(refuses_for, now)
+
     def record_connection_lost(self, replica: str) -> None:
         """Record that a connection was lost with a request in flight."""
         self.replica_stats(replica).record_failure(self._clock.monotonic_time())
--- a/src/lovagetray/queries/load_balancing/_stats.py
+++ b/src/lovagetray/queries/load_balancing/_stats.py
@@ -43,6 +43,8 @@
         End of the backoff.
     backoff
         Duration of the last backoff; zero after an answer.
+    refuses_until
+        Until then the replica has asked this instance to send no requests.
     """
 
     relative_latency: float = 1.0
@@ -53,6 +55,7 @@
     load_at: timedelta = timedelta(0)
     backoff_until: timedelta = timedelta(0)
     backoff: timedelta = timedelta(0)
+    refuses_until: timedelta = timedelta(0)
 
     def record_success(self, ratio: float, now: timedelta) -> None:
         """Record an answer.
@@ -92,6 +95,10 @@
         self.backoff = min(max(_MIN_BACKOFF, 2 * self.backoff), _MAX_BACKOFF)
         self.backoff_until = now + self.backoff
 
+    def record_refusal(self, refuses_for: timedelta, now: timedelta) -> None:
+        """Record that the replica wants no requests for a time."""
+        self.refuses_until = max(self.refuses_until, now + refuses_for)
+
     def record_load(self, load: ReplicaLoad, now: timedelta) -> None:
         """Record the load report of a reply."""
         self.load = load
--- a/src/lovagetray/replicated_log/_state.py
+++ b/src/lovagetray/replicated_log/_state.py
@@ -90,7 +90,7 @@
             return
         try:
             settings, ledger, *routing = _snapshot_decoder.decode(state)
-        except (DecodeError, ValidationError, ValueError):
+        except (DecodeError, ValidationError, ValueError, RecursionError):
             _log.error("state_snapshot_unreadable")
             return
         match decode_settings_snapshot(settings):
--- a/src/lovagetray/state/_replica_directory.py
+++ b/src/lovagetray/state/_replica_directory.py
@@ -9,6 +9,7 @@
     NoticeVersion,
     RepeatedNotice,
     ReplicaNotice,
+    ReplicaRun,
     ReplicaState,
 )
 from lovagetray._types import Address
@@ -26,10 +27,13 @@
     ----------
     heard_at
         Monotonic time at which the notice was last heard.
+    leaving
+        Whether the replica has stated in a response of this run that it is leaving.
     """
 
     notice: ReplicaNotice
     heard_at: timedelta
+    leaving: bool = False
 
 
 class ReplicaDirectory:
@@ -131,8 +135,38 @@
             for known in self._replicas_by_service.get(service, {}).values()
             if known.heard_at >= heard_since
             and known.notice.state is ReplicaState.READY
+            and not known.leaving
         ]
 
+    def is_usable(self, notice: ReplicaNotice) -> bool:
+        """Return whether a replica is ready, at the address of an earlier notice."""
+        known = self._replicas.get(notice.replica)
+        return (
+            known is not None
+            and known.notice.state is ReplicaState.READY
+            and known.notice.address == notice.address
+            and not known.leaving
+        )
+
+    def mark_leaving(self, run: ReplicaRun) -> bool:
+        """Stop using a run of a replica that stated in a response that it is leaving.
+
+        Later notices of the same run do not make it usable again, as they may have been
+        sent before the response.
+
+        Returns
+        -------
+        bool
+            Whether the run is known and was in use.
+        """
+        known = self._replicas.get(run.replica)
+        if known is None or known.leaving or known.notice.born != run.born:
+            return False
+        known = known._replace(leaving=True)
+        self._replicas[run.replica] = known
+        self._replicas_by_service[known.notice.service][run.replica] = known
+        return True
+
     def notice_versions(self) -> Iterator[NoticeVersion]:
         """Yield the versions of the stored notices, for another instance to compare."""
         for known in self._replicas.values():
@@ -168,7 +202,10 @@
         current_replica = self._replica_at_address.get(notice.address)
         if current_replica is not None and notice.state is not ReplicaState.LEFT:
             self._mark_left(current_replica)
-        known = KnownReplica(notice, heard_at)
+        leaving = (
+            stored is not None and stored.leaving and stored.notice.born == notice.born
+        )
+        known = KnownReplica(notice, heard_at, leaving)
         self._replicas[notice.replica] = known
         self._replicas_by_service.setdefault(notice.service, {})[notice.replica] = known
         if notice.state is not ReplicaState.LEFT:
--- a/src/lovagetray/targets/_channel.py
+++ b/src/lovagetray/targets/_channel.py
@@ -7,11 +7,18 @@
 
 from curio import CancelledError
 from expression import Error, Ok, Result
-from httptools import HttpParserError, HttpResponseParser
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from lovagetray._clock import Clock
 from lovagetray._routing_types import ReplicaNotice, ReplicaReply
-from lovagetray._target_errors import ConnectFailed, ConnectionLost, WrongReply
+from lovagetray._target_errors import (
+    ConnectFailed,
+    ConnectionLost,
+    NotSent,
+    ResponseTooLarge,
+    WrongReply,
+)
+from lovagetray._task_failures import report_task_failure
 from lovagetray._types import Address
 from lovagetray.wire import connect
 
@@ -25,8 +32,17 @@
 # Shard responses stay below 32 KiB in all deployments; a response above this limit
 # comes from a faulty replica.
 _MAX_REPLY_BYTES = 4 * 1024 * 1024
-
-ChannelFailure = ConnectFailed | ConnectionLost | WrongReply
+# The parser keeps a head, trailer or chunk line until its end arrives, so the bytes
+# outside the body are limited as well.
+_MAX_HEAD_BYTES = 64 * 1024
+_MAX_HEADERS = 128
+_MAX_INFORMATIONAL_REPLIES = 8
+# Longer idle timeouts make no difference; a faulty replica may announce any number.
+_MAX_IDLE_TIMEOUT_SECONDS = 3600
+
+ChannelFailure = (
+    ConnectFailed | ConnectionLost | WrongReply | ResponseTooLarge | NotSent
+)
 # A plain union instead of a `Result`: each outcome is matched by its class.
 Outcome = ReplicaReply | ChannelFailure
 RawHeaders = tuple[tuple[bytes, bytes], ...]
@@ -92,7 +108,33 @@
     size: int = 0
     framed: bool = False
     head_complete: bool = False
-    complete: bool = False
+
+
+class BufferedBytes:
+    """Count of the body bytes of incomplete responses on all connections.
+
+    Parameters
+    ----------
+    limit
+        Number of bytes above which connections that receive more are closed.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._held = 0
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether the connections together hold more bytes than the limit."""
+        return self._held > self._limit
+
+    def hold(self, size: int) -> None:
+        """Count received bytes."""
+        self._held += size
+
+    def release(self, size: int) -> None:
+        """Subtract the bytes of a response that is complete or given up."""
+        self._held -= size
 
 
 class Channel:
@@ -111,6 +153,8 @@
         next, or None.
     on_closed
         Called after the connection has ended, with whether it ever carried a response.
+    buffered
+        Bytes of incomplete responses on all connections of this instance.
     """
 
     def __init__(
@@ -120,16 +164,22 @@
         decode: ReplyDecoder,
         on_idle: Callable[["Channel"], Exchange | None],
         on_closed: Callable[["Channel", bool], None],
+        buffered: "BufferedBytes",
     ) -> None:
         self._clock = clock
         self._decode = decode
         self._on_idle = on_idle
         self._on_closed = on_closed
+        self._buffered = buffered
         self._socket: Any = None
         self._exchange: Exchange | None = None
         self._reply = _Reply()
         self._parser: Any = None
         self._complete_replies: list[_Reply] = []
+        self._unparsed_bytes = 0
+        self._informational_replies = 0
+        self._reply_started = False
+        self._oversized = False
         self._sending = False
         self._broken = False
         self._received_response = False
@@ -165,8 +215,13 @@
         except CancelledError:
             await self._fail(self._end_failure())
             raise
+        except Exception as error:
+            # Whoever waits for the exchange must get an outcome, whatever went wrong.
+            report_task_failure("replica_connection", error)
+            await self._fail(self._end_failure())
         finally:
             self._broken = True
+            self._buffered.release(self._reply.size)
             self._on_closed(self, self._received_response)
 
     async def send(self, exchange: Exchange) -> None:
@@ -218,35 +273,53 @@
             if not data:
                 await self._handle_end(clean=data is not None)
                 return
-            try:
-                self._parser.feed_data(data)
-            except HttpParserError:
-                self._broken = True
+            if self._exchange is None:
+                # No request is in flight: the bytes belong to no request.
+                return
+            self._feed(data)
             await self._deliver_replies()
         await self._fail(self._end_failure())
 
+    def _feed(self, data: bytes) -> None:
+        """Parse received bytes; mark the connection as broken beyond a limit."""
+        self._unparsed_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (HttpParserError, HttpParserUpgrade):
+            self._broken = True
+        if (
+            self._unparsed_bytes > _MAX_HEAD_BYTES + _RECEIVE_BYTES
+            or len(self._reply.headers) > _MAX_HEADERS
+            or self._informational_replies > _MAX_INFORMATIONAL_REPLIES
+            or self._reply.size > _MAX_REPLY_BYTES
+            or self._buffered.exhausted
+        ):
+            self._broken = self._oversized = True
+
     async def _deliver_replies(self) -> None:
         while self._complete_replies:
             reply = self._complete_replies.pop(0)
             # Only one request is in flight: a further response belongs to no request.
-            self._broken = self._broken or bool(self._complete_replies)
+            self._broken = (
+                self._broken or bool(self._complete_replies) or self._reply_started
+            )
             await self._accept_reply(reply)
-        if self._reply.size > _MAX_REPLY_BYTES:
-            self._broken = True
 
     async def _accept_reply(self, raw: _Reply) -> None:
         """Match a complete response to the exchange in flight."""
         exchange = self._exchange
         if exchange is None:
-            # No request is in flight: the response belongs to no request.
-            self._broken = True
             return
         reply = self._decode(raw.status, tuple(raw.headers), b"".join(raw.body))
         if reply.request_id and reply.request_id != exchange.request_id:
             # A second response to an earlier request; the expected one may follow.
             return
+        # Without an id, a late second response to this request could not be told from
+        # the response to the next one, so the connection is not used again.
+        self._broken = self._broken or not reply.request_id
         self._exchange = None
         self._received_response = True
+        self._informational_replies = 0
         # If the request is not completely sent yet, the replica would read the rest of
         # it as the start of the next request.
         self._broken = self._broken or self._sending
@@ -272,11 +345,13 @@
         if exchange is not None:
             await exchange.waiter.deliver(exchange, failure)
 
-    def _end_failure(self) -> ConnectFailed | ConnectionLost:
+    def _end_failure(self) -> ConnectFailed | ConnectionLost | ResponseTooLarge:
         """Return the failure of the exchange in flight if its connection ends."""
         exchange = self._exchange
         if exchange is not None and exchange.sent_at is None:
             return ConnectFailed(self.notice.replica)
+        if self._oversized:
+            return ResponseTooLarge(self.notice.replica)
         return ConnectionLost(self.notice.replica)
 
     def _new_reply(self) -> None:
@@ -285,6 +360,10 @@
 
     # Called by the parser.
 
+    def on_message_begin(self) -> None:
+        """Record that a response has begun."""
+        self._reply_started = True
+
     def on_status(self, status: bytes) -> None:
         """Store the status of a new response."""
         self._reply.status = self._parser.get_status_code()
@@ -302,15 +381,23 @@
         """Mark the head of the response as complete."""
         self._reply.status = self._parser.get_status_code()
         self._reply.head_complete = True
+        self._unparsed_bytes = 0
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self._reply.body.append(body)
         self._reply.size += len(body)
+        self._buffered.hold(len(body))
+        self._unparsed_bytes = 0
 
     def on_message_complete(self) -> None:
         """Queue a complete response; informational ones (1xx) are discarded."""
-        if not 100 <= self._reply.status < 200:
+        self._reply_started = False
+        self._unparsed_bytes = 0
+        self._buffered.release(self._reply.size)
+        if 100 <= self._reply.status < 200:
+            self._informational_replies += 1
+        else:
             if not self._parser.should_keep_alive():
                 self._broken = True
             self._complete_replies.append(self._reply)
@@ -328,6 +415,9 @@
     """Return the idle timeout in a `Keep-Alive` header, or None."""
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.strip().isdigit():
-            return timedelta(seconds=int(number))
+        digits = number.strip()
+        if name.lower() == b"timeout" and digits.isdigit():
+            if len(digits) > len(str(_MAX_IDLE_TIMEOUT_SECONDS)):
+                return timedelta(seconds=_MAX_IDLE_TIMEOUT_SECONDS)
+            return timedelta(seconds=int(digits))
     return None
--- a/src/lovagetray/targets/_connection_pool.py
+++ b/src/lovagetray/targets/_connection_pool.py
@@ -10,7 +10,14 @@
 
 from lovagetray._clock import Clock
 from lovagetray._routing_types import ReplicaNotice
-from lovagetray.targets._channel import Channel, Exchange, ReplyDecoder
+from lovagetray._target_errors import NotSent
+from lovagetray._types import Address
+from lovagetray.targets._channel import (
+    BufferedBytes,
+    Channel,
+    Exchange,
+    ReplyDecoder,
+)
 
 # Exchanges queued for a connection to one replica; more could not finish in time.
 _MAX_QUEUED_EXCHANGES = 20
@@ -28,6 +35,9 @@
 # Fraction of an announced idle timeout that is used; the rest covers the transit time
 # of the last byte.
 _IDLE_TIMEOUT_FRACTION = 0.8
+# Body bytes of incomplete responses on all connections together. The smallest machines
+# have 200 MB; a response of usual size is complete within one or two reads.
+_MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 
 
 class Availability(Enum):
@@ -75,9 +85,15 @@
                 return channel
         return None
 
-    def next_queued(self, now: timedelta) -> Exchange | None:
-        """Remove and return the first queued exchange that is still needed, or None."""
-        while self.queued:
+    def next_queued(self, now: timedelta, accepts: bool) -> Exchange | None:
+        """Remove and return the first queued exchange that is still needed, or None.
+
+        Parameters
+        ----------
+        accepts
+            Whether the replica takes requests now; if not, the result is None.
+        """
+        while self.queued and accepts:
             exchange = self.queued.popleft()
             if exchange.abandoned_at is None and exchange.deadline > now:
                 return exchange
@@ -97,6 +113,9 @@
         Task group that runs one task for each connection.
     limits
         Returns the limits of the connections to a replica.
+    accepts
+        Returns whether a replica takes requests now; queued exchanges are not sent
+        while it does not.
     """
 
     def __init__(
@@ -105,12 +124,17 @@
         decode: ReplyDecoder,
         group: TaskGroup,
         limits: Callable[[ReplicaNotice], ConnectionLimits],
+        accepts: Callable[[ReplicaNotice], bool],
     ) -> None:
         self._clock = clock
         self._decode = decode
         self._group = group
         self._limits = limits
-        self._replicas: dict[str, ReplicaChannels] = {}
+        self._accepts = accepts
+        self._buffered = BufferedBytes(_MAX_BUFFERED_BYTES)
+        # By id and address: a replica that announces another address is another peer,
+        # and the connections and exchanges of the old address still need their end.
+        self._replicas: dict[tuple[str, Address], ReplicaChannels] = {}
 
     @property
     def open_count(self) -> int:
@@ -119,7 +143,7 @@
 
     def availability(self, notice: ReplicaNotice, now: timedelta) -> Availability:
         """Return how an exchange with a replica could start now."""
-        replica = self._replicas.get(notice.replica) or ReplicaChannels(notice)
+        replica = self._replicas.get(_key(notice)) or ReplicaChannels(notice)
         if replica.idle:
             return Availability.IDLE
         limits = self._limits(notice)
@@ -133,7 +157,7 @@
 
     def is_connected(self, notice: ReplicaNotice) -> bool:
         """Return whether a connection to a replica is open or being opened."""
-        replica = self._replicas.get(notice.replica)
+        replica = self._replicas.get(_key(notice))
         return replica is not None and bool(replica.open)
 
     async def start(self, exchange: Exchange) -> bool:
@@ -165,26 +189,30 @@
         """Open a connection to a replica before the first exchange needs it."""
         await self._open(self._channels_of(notice), None)
 
-    async def run(self, has_ended: Callable[[str], bool]) -> None:
+    async def run(self, has_ended: Callable[[ReplicaNotice], bool]) -> None:
         """Close abandoned, overdue and idle connections every 100 ms, until cancelled.
 
+        Exchanges queued for a replica that takes no requests fail as `NotSent`.
+
         Parameters
         ----------
         has_ended
-            Returns whether a replica is no longer used.
+            Returns whether a replica, at the address of its notice, is no longer used.
         """
         while True:
             await self._clock.sleep(_SWEEP_INTERVAL)
             now = self._clock.monotonic_time()
-            for name, replica in list(self._replicas.items()):
-                unused = has_ended(name)
+            for key, replica in list(self._replicas.items()):
+                unused = has_ended(replica.notice)
+                if unused or not self._accepts(replica.notice):
+                    await _refuse_queued(replica)
                 if replica.queued and not replica.open:
                     await self._start_queued(replica, now)
                 for channel in list(replica.open):
                     if self._must_close(channel, now, unused):
                         await channel.task.cancel(blocking=False)
                 if unused and not replica.open:
-                    del self._replicas[name]
+                    del self._replicas[key]
 
     async def abandon(self, exchanges: Iterable[Exchange]) -> None:
         """Mark exchanges whose outcome is no longer needed.
@@ -197,20 +225,22 @@
 
     async def _start_queued(self, replica: ReplicaChannels, now: timedelta) -> None:
         """Open a connection for a queued exchange if no connection is left."""
-        exchange = replica.next_queued(now)
+        exchange = replica.next_queued(now, self._accepts(replica.notice))
         if exchange is not None:
             await self._open(replica, exchange)
 
     def _channels_of(self, notice: ReplicaNotice) -> ReplicaChannels:
-        replica = self._replicas.get(notice.replica)
-        if replica is None or replica.notice.address != notice.address:
-            replica = ReplicaChannels(notice)
-            self._replicas[notice.replica] = replica
+        replica = self._replicas.get(_key(notice))
+        if replica is None:
+            replica = self._replicas[_key(notice)] = ReplicaChannels(notice)
+        replica.notice = notice
         return replica
 
     async def _open(self, replica: ReplicaChannels, first: Exchange | None) -> None:
         def on_idle(channel: Channel) -> Exchange | None:
-            queued = replica.next_queued(self._clock.monotonic_time())
+            queued = replica.next_queued(
+                self._clock.monotonic_time(), self._accepts(replica.notice)
+            )
             if queued is None:
                 replica.idle.append(channel)
             return queued
@@ -223,9 +253,17 @@
                 # The replica is at its connection limit or unreachable.
                 replica.backoff_until = self._clock.monotonic_time() + _CONNECT_BACKOFF
 
-        channel = Channel(replica.notice, self._clock, self._decode, on_idle, on_closed)
+        channel = Channel(
+            replica.notice,
+            self._clock,
+            self._decode,
+            on_idle,
+            on_closed,
+            self._buffered,
+        )
         replica.open.append(channel)
-        channel.task = await self._group.spawn(channel.run, first)
+        # A group keeps every task that ends in it unless the task is a daemon.
+        channel.task = await self._group.spawn(channel.run, first, daemon=True)
 
     def _must_close(self, channel: Channel, now: timedelta, unused: bool) -> bool:
         """Return whether a connection is abandoned, overdue or idle for too long."""
@@ -241,3 +279,14 @@
         if exchange.abandoned_at is not None:
             return now - exchange.abandoned_at > _ABANDONED_GRACE
         return now > exchange.deadline + _DEADLINE_GRACE
+
+
+def _key(notice: ReplicaNotice) -> tuple[str, Address]:
+    return notice.replica, notice.address
+
+
+async def _refuse_queued(replica: ReplicaChannels) -> None:
+    """Fail the exchanges that wait for a connection to a replica."""
+    while replica.queued:
+        exchange = replica.queued.popleft()
+        await exchange.waiter.deliver(exchange, NotSent(replica.notice.replica))
--- a/src/lovagetray/wire/_caller_server.py
+++ b/src/lovagetray/wire/_caller_server.py
@@ -17,6 +17,7 @@
     spawn,
     tcp_server_socket,
 )
+from expression import Result
 from h11 import (
     DONE,
     MUST_CLOSE,
@@ -42,13 +43,17 @@
     RequestTooSlow,
 )
 from lovagetray._routing_types import CallerLimits
+from lovagetray._task_failures import report_task_failure
 from lovagetray._types import Address
+from lovagetray.wire._http import ACCEPT_RETRY_DELAY
 
 _log = get_logger()
 _RECEIVE_BYTES = 65536
 _BACKLOG = 1024
 _SWEEP_INTERVAL = timedelta(milliseconds=250)
 _CLOSE_TIMEOUT = timedelta(seconds=1)
+# Connections that the kernel has already accepted are handed out within this time.
+_BACKLOG_TIMEOUT = timedelta(milliseconds=20)
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 RequestFailure = MalformedRequest | RequestTooLarge | HeadTooLarge | RequestTooSlow
@@ -110,8 +115,8 @@
 
     @property
     def running_requests(self) -> int:
-        """The number of requests in flight."""
-        return sum(connection.running for connection in self._connections)
+        """The number of requests in flight or being received."""
+        return sum(connection.busy for connection in self._connections)
 
     def drain(self) -> None:
         """Close each connection after its next response, with ``Connection: close``."""
@@ -130,21 +135,52 @@
             await self._close_overdue()
 
     async def close(self) -> None:
-        """Stop accepting connections and close those without a request in flight.
+        """Stop accepting connections and close those that wait for a next request.
 
-        Requests in flight continue.
+        Requests in flight continue, as do connections that have not carried a request
+        yet, because their first one may be on its way.
         """
+        self._draining = True
         if self._accept_task is not None:
             await self._accept_task.cancel()
         for connection in list(self._connections):
-            if not connection.running:
+            if not connection.busy:
                 await connection.task.cancel(blocking=False)
 
     async def _accept(self, listener: Any, group: TaskGroup) -> None:
         async with listener:
-            while True:
-                client, _ = await listener.accept()
-                await group.spawn(self._serve, client)
+            try:
+                while True:
+                    try:
+                        client, _ = await listener.accept()
+                    except OSError as error:
+                        # No descriptor is free; connections that end release some.
+                        report_task_failure("accept", error)
+                        await self._clock.sleep(ACCEPT_RETRY_DELAY)
+                        continue
+                    await self._start(client, group)
+            except CancelledError:
+                await self._accept_backlog(listener, group)
+                raise
+
+    async def _accept_backlog(self, listener: Any, group: TaskGroup) -> None:
+        """Accept the connections that callers have opened already.
+
+        Closing the listener would reset them, also those whose request has arrived.
+        """
+        while True:
+            accepted = await self._clock.with_timeout(
+                _BACKLOG_TIMEOUT, listener.accept()
+            )
+            match accepted:
+                case Result(tag="ok", ok=(client, _)):
+                    await self._start(client, group)
+                case _:
+                    return
+
+    async def _start(self, client: Any, group: TaskGroup) -> None:
+        # A group keeps every task that ends in it unless the task is a daemon.
+        await group.spawn(self._serve, client, daemon=True)
 
     async def _serve(self, client: Any) -> None:
         connection = _CallerConnection(
@@ -162,6 +198,8 @@
         except OSError:
             # The caller has closed or reset the connection: no response is possible.
             pass
+        except Exception as error:
+            report_task_failure("caller_connection", error)
         finally:
             self._connections.discard(connection)
 
@@ -197,12 +235,17 @@
         self._request_task: Task | None = None
         self._waiting_since = clock.monotonic_time()
         self._receiving = False
+        self._carried_request = False
         self.task: Any = None
 
     @property
-    def running(self) -> bool:
-        """Whether a request is in flight."""
-        return self._request_task is not None
+    def busy(self) -> bool:
+        """Whether a request is in flight, arriving, or the first one is awaited."""
+        return (
+            self._request_task is not None
+            or self._receiving
+            or not self._carried_request
+        )
 
     def is_overdue(self, now: timedelta) -> bool:
         """Return whether the caller has exceeded `idle_time` or `request_time`."""
@@ -221,6 +264,7 @@
                 request = await self._read_request()
                 if request is None:
                     return
+                self._carried_request = True
                 self._request_task = await spawn(
                     self._run_request, request, daemon=True
                 )
@@ -304,6 +348,10 @@
             # The caller has disconnected; the task that reads the connection detects
             # this as well and ends.
             pass
+        except Exception as error:
+            # Without a response the caller would wait until its timeout.
+            report_task_failure("caller_request", error)
+            await self.task.cancel(blocking=False)
         finally:
             self._request_task = None
             self._waiting_since = self._clock.monotonic_time()
--- a/src/lovagetray/wire/_http.py
+++ b/src/lovagetray/wire/_http.py
@@ -1,7 +1,10 @@
 """HTTP requests and responses, independent of the connection that carries them."""
 
+from datetime import timedelta
 from typing import NamedTuple
 
+# Delay before connections are accepted again after the attempt failed.
+ACCEPT_RETRY_DELAY = timedelta(milliseconds=50)
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
--- a/src/lovagetray/wire/_http_server.py
+++ b/src/lovagetray/wire/_http_server.py
@@ -25,8 +25,9 @@
 
 from lovagetray._clock import Clock
 from lovagetray._errors import MalformedRequest, RequestTooLarge, RequestTooSlow
+from lovagetray._task_failures import report_task_failure
 from lovagetray._types import Address
-from lovagetray.wire._http import HttpRequest, HttpResponse
+from lovagetray.wire._http import ACCEPT_RETRY_DELAY, HttpRequest, HttpResponse
 
 _log = get_logger()
 _RECEIVE_BYTES = 65536
@@ -108,11 +109,19 @@
         async with TaskGroup(wait=None) as group:
             async with listener:
                 while True:
-                    client, peer = await listener.accept()
+                    try:
+                        client, peer = await listener.accept()
+                    except OSError as error:
+                        # No descriptor is free; connections that end release some.
+                        report_task_failure("accept", error)
+                        await self._clock.sleep(ACCEPT_RETRY_DELAY)
+                        continue
                     if len(self._connection_tasks) >= self._limits.connections:
                         await client.close()
                         continue
-                    await group.spawn(self._serve, client, peer[:2])
+                    # A group keeps every task that ends in it unless the task is a
+                    # daemon.
+                    await group.spawn(self._serve, client, peer[:2], daemon=True)
 
     async def close_idle(self) -> None:
         """Close idle connections now and the others after their next response."""
@@ -133,6 +142,8 @@
                     connection.start_next_cycle()
         except (OSError, CancelledError):
             pass
+        except Exception as error:
+            report_task_failure("http_connection", error)
         finally:
             self._connection_tasks.discard(task)
             self._idle_tasks.discard(task)
--- a/src/lovagetray/wire/_ledger_codec.py
+++ b/src/lovagetray/wire/_ledger_codec.py
@@ -45,7 +45,7 @@
     """Return the ledger state in `body`, or the reason why it is malformed."""
     try:
         return Ok(_snapshot_decoder.decode(body))
-    except (DecodeError, ValidationError) as error:
+    except (DecodeError, ValidationError, RecursionError, OverflowError) as error:
         return Error(MalformedRequest(str(error)))
 
 
@@ -60,5 +60,11 @@
     try:
         name, fields = _tagged_decoder.decode(body)
         return Ok(convert(fields, types[name]))
-    except (DecodeError, ValidationError, KeyError) as error:
+    except (
+        DecodeError,
+        ValidationError,
+        KeyError,
+        RecursionError,
+        OverflowError,
+    ) as error:
         return Error(MalformedRequest(str(error)))
--- a/src/lovagetray/wire/_log_codec.py
+++ b/src/lovagetray/wire/_log_codec.py
@@ -84,7 +84,7 @@
             break
         try:
             entries.extend(_entries_decoder.decode(payload))
-        except (DecodeError, ValidationError):
+        except (DecodeError, ValidationError, RecursionError, OverflowError):
             return Error(LogCorrupted("log", position))
         position += _HEADER_SIZE + len(payload)
     return Ok(LogContent(tuple(entries), position))
@@ -133,5 +133,5 @@
         return Error(LogCorrupted(file_name, 0))
     try:
         return Ok(decoder.decode(payload))
-    except (DecodeError, ValidationError):
+    except (DecodeError, ValidationError, RecursionError, OverflowError):
         return Error(LogCorrupted(file_name, 0))
--- a/src/lovagetray/wire/_peer_codec.py
+++ b/src/lovagetray/wire/_peer_codec.py
@@ -38,7 +38,7 @@
         return Error(MalformedRequest("unknown kind of message"))
     try:
         return Ok(Envelope(_sender_decoder.decode(sender), decoder.decode(payload)))
-    except (DecodeError, ValidationError, RecursionError) as error:
+    except (DecodeError, ValidationError, RecursionError, OverflowError) as error:
         return Error(MalformedRequest(str(error)))
 
 
--- a/src/lovagetray/wire/_peers.py
+++ b/src/lovagetray/wire/_peers.py
@@ -33,6 +33,7 @@
     RunSubRequests,
     SubRequestOutcomes,
 )
+from lovagetray._task_failures import report_task_failure
 from lovagetray._types import Address, InstanceId
 from lovagetray.wire._peer_codec import decode_envelope, encode_envelope
 
@@ -139,7 +140,12 @@
             _, *frames = await _receive_frames(socket)
             match decode_envelope(frames):
                 case Result(tag="ok", ok=envelope):
-                    await handler(envelope)
+                    try:
+                        await handler(envelope)
+                    except Exception as error:
+                        # One message that cannot be handled must not end the task that
+                        # receives all others.
+                        report_task_failure("peer_message", error)
                 case Result(error=failure):
                     _log.warning("peer_message_malformed", reason=str(failure))
 
