--- a/features/steps/announcing_steps.py
+++ b/features/steps/announcing_steps.py
@@ -22,7 +22,13 @@
 from lovagetray._routing_types import RepeatedNotice, ReplicaState
 from lovagetray._types import InstanceId
 from lovagetray.commands.discovery import ReplicaGossip
-from lovagetray.state import InstanceRecord, InstanceState, Members, ReplicaDirectory
+from lovagetray.state import (
+    InstanceRecord,
+    InstanceState,
+    Members,
+    Relays,
+    ReplicaDirectory,
+)
 
 _LIFETIME = timedelta(hours=1)
 _CONFIRM_DELAY = timedelta(milliseconds=40)
@@ -160,8 +166,10 @@
             members.update_record(_record(name), clock.monotonic_time())
         transport = context.transport = ConfirmingTransport(confirming)
         directory = ReplicaDirectory(_LIFETIME, _LIFETIME)
+        relays = Relays("me")
+        relays.update(("me", *context.peers))
         transport.replica_gossip = ReplicaGossip(
-            directory, members, transport, clock, Random(1)
+            directory, members, relays, transport, clock, Random(1)
         )
         started_at = clock.monotonic_time()
         context.result = await work(transport.replica_gossip)
--- a/features/steps/replica_directory_steps.py
+++ b/features/steps/replica_directory_steps.py
@@ -100,7 +100,7 @@
 
 
 def _usable(context: Context) -> list[str]:
-    return [usable.replica for usable in context.directory.usable("s", context.now)]
+    return [usable.replica for usable in context.directory.usable("s")]
 
 
 def _parse(text: str) -> ReplicaNotice:
--- a/src/lovagetray/_peer_messages.py
+++ b/src/lovagetray/_peer_messages.py
@@ -26,7 +26,7 @@
     SubReply,
     SubRequest,
 )
-from lovagetray.state import InstanceRecord
+from lovagetray.state import FedInstance, FedReplica, FeedPosition, InstanceRecord
 
 
 class AgedAnnouncement(NamedTuple):
@@ -310,16 +310,81 @@
     number: int
 
 
+class DirectoryChecksum(Struct, frozen=True):
+    """Checksum of the sender's directory; the reply is a digest if they differ."""
+
+    checksum: int
+
+
 class NoticeDigest(Struct, frozen=True):
     """The notices that the sender has; the reply has newer and missing ones."""
 
     runs: tuple[NoticeVersion, ...]
 
 
+class Subscribe(Struct, frozen=True):
+    """A request for the changes of the directory, sent to a relay at short intervals.
+
+    Parameters
+    ----------
+    record
+        Record of the subscriber.
+    position
+        Newest version of the relay's feed that the subscriber has.
+    """
+
+    record: InstanceRecord
+    position: FeedPosition
+
+
+class FeedUpdate(Struct, frozen=True):
+    """Changes of the directory after a version of the feed.
+
+    Parameters
+    ----------
+    after
+        Version after which the entries changed; 0 if these are all entries.
+    confirmed_age
+        Time since a majority last confirmed the relay; None if it never did.
+    """
+
+    after: int
+    position: FeedPosition
+    instances: tuple[FedInstance, ...]
+    replicas: tuple[FedReplica, ...]
+    confirmed_age: timedelta | None
+
+
+class SubscribersHeard(Struct, frozen=True):
+    """The live subscribers of a relay, for the other relays.
+
+    Parameters
+    ----------
+    names
+        Names of all live subscribers.
+    records
+        Records of those that changed, and at times of all.
+    lost
+        Names of former subscribers that have just fallen silent.
+    """
+
+    names: tuple[str, ...]
+    records: tuple[InstanceRecord, ...]
+    lost: tuple[str, ...] = ()
+
+
 class KnownInstances(Struct, frozen=True):
-    """Records of instances that the receiver may not have."""
+    """Records of instances that the receiver may not have.
+
+    Parameters
+    ----------
+    total
+        Number of instances that the sender knows. It sends no records if they are too
+        many for all of them to exchange messages.
+    """
 
     records: tuple[InstanceRecord, ...]
+    total: int = 0
 
 
 PeerMessage = (
@@ -340,7 +405,11 @@
     | ReplicasLeft
     | ReplicasLeaving
     | NoticesSeen
+    | DirectoryChecksum
     | NoticeDigest
+    | Subscribe
+    | FeedUpdate
+    | SubscribersHeard
     | KnownInstances
 )
 
--- a/src/lovagetray/commands/discovery/__init__.py
+++ b/src/lovagetray/commands/discovery/__init__.py
@@ -1,3 +1,8 @@
-"""Commands on notices of replicas, from replicas and other instances."""
+"""Discovery: notices of replicas, and the directory among the instances."""
 
-from lovagetray.commands.discovery._replica_gossip import ReplicaGossip
+from lovagetray.commands.discovery._feed_publisher import FeedPublisher
+from lovagetray.commands.discovery._replica_gossip import (
+    NoticeTransport,
+    ReplicaGossip,
+)
+from lovagetray.commands.discovery._subscription import Subscription
--- a/src/lovagetray/commands/discovery/_replica_gossip.py
+++ b/src/lovagetray/commands/discovery/_replica_gossip.py
@@ -2,17 +2,17 @@
 
 from collections.abc import Iterable
 from datetime import timedelta
-from math import ceil
 from random import Random
 from typing import Protocol
 
-from curio import Event
+from curio import Event, spawn
 from expression import Error, Ok, Result
 from structlog import get_logger
 
 from lovagetray._clock import Clock
 from lovagetray._peer_messages import (
     AgedNotice,
+    DirectoryChecksum,
     NoticeDigest,
     NoticesSeen,
     PeerMessage,
@@ -23,7 +23,7 @@
 )
 from lovagetray._routing_errors import NoticeUnconfirmed
 from lovagetray._routing_types import ReplicaNotice, ReplicaRun, ReplicaState
-from lovagetray.state import Members, ReplicaDirectory
+from lovagetray.state import Members, Relays, ReplicaDirectory
 
 _log = get_logger()
 _ROUND_INTERVAL = timedelta(seconds=1)
@@ -31,15 +31,15 @@
 # connections to the other instances are being opened.
 _STARTUP_ROUND_INTERVAL = timedelta(milliseconds=250)
 _STARTUP_DURATION = timedelta(seconds=5)
-# Repeated notices are not urgent. They are relayed every two round intervals; with many
-# instances less often, down to every five.
-_RELAY_ROUNDS = 2
-_MAX_RELAY_ROUNDS = 5
-# Shortest time between two requests for missing notices, with many instances: a reply
-# may hold all replicas, and when all instances start at once, each meets all others.
+# Repeated notices are not urgent, so they are relayed together.
+_RELAY_INTERVAL = 2 * _ROUND_INTERVAL
+# Shortest time between two requests for missing notices: a reply may hold all replicas,
+# and when all instances start at once, each meets many others.
 _MIN_REQUEST_INTERVAL = timedelta(milliseconds=200)
-# A replica waits 1 s for its acknowledgement, so confirmations must arrive earlier.
+# A replica waits 1 s for its acknowledgement, so confirmations must arrive earlier, and
+# those that a relay collects for another instance earlier still.
 _CONFIRMATION_TIMEOUT = timedelta(milliseconds=600)
+_FORWARDED_CONFIRMATION_TIMEOUT = timedelta(milliseconds=450)
 _NO_AGE = timedelta(0)
 
 ReplicaGossipMessage = (
@@ -48,6 +48,7 @@
     | ReplicasLeft
     | ReplicasLeaving
     | NoticesSeen
+    | DirectoryChecksum
     | NoticeDigest
 )
 
@@ -59,7 +60,7 @@
         """Queue a message to one instance."""
 
     async def broadcast(self, message: PeerMessage) -> None:
-        """Queue a message to every instance."""
+        """Queue a message to every other relay."""
 
 
 class _PendingConfirmation:
@@ -72,42 +73,58 @@
 
 
 class ReplicaGossip:
-    """Replication of the replica directory among all instances.
+    """Replication of the replica directory among the relays.
 
-    A notice that changes the directory is sent to every instance at once. Notices that
+    A notice that changes the directory is sent to every relay at once. Notices that
     only repeat what is known are relayed periodically, in batches and in a short form.
     Lost messages are made up for by anti-entropy: each round sends a digest to a random
-    live instance, which replies with the newer notices that it has.
+    live relay, which replies with the newer notices that it has.
+
+    An instance that is no relay forwards the notices that it gets to its relay, which
+    treats them as its own and confirms them once other relays have done so.
     """
 
     def __init__(
         self,
         directory: ReplicaDirectory,
         members: Members,
+        relays: Relays,
         transport: NoticeTransport,
         clock: Clock,
         random: Random,
     ) -> None:
         self._directory = directory
         self._members = members
+        self._relays = relays
         self._transport = transport
         self._clock = clock
         self._random = random
         self._last_message_number = 0
         self._confirmations: dict[int, _PendingConfirmation] = {}
         self._replicas_to_relay: set[str] = set()
-        self._requested_at: timedelta | None = None
+        self._requested_at: dict[str, timedelta] = {}
 
-    async def accept(self, notice: ReplicaNotice) -> Result[None, NoticeUnconfirmed]:
+    async def accept(
+        self, notice: ReplicaNotice, timeout: timedelta = _CONFIRMATION_TIMEOUT
+    ) -> Result[None, NoticeUnconfirmed]:
         """Accept a notice that a replica sent to this instance.
 
-        If the replica is draining or has left, at least one of the other instances must
-        confirm the notice.
+        If the replica is draining, at least one other relay must confirm the notice.
+
+        Parameters
+        ----------
+        timeout
+            How long the confirmations of all other relays are awaited.
         """
         known = self._directory.find(notice.replica)
         changed = self._directory.accept(notice, self._clock.monotonic_time())
         if not changed:
             self._replicas_to_relay.add(notice.replica)
+            if not self._relays.is_relay and notice.state is ReplicaState.READY:
+                await self._send_to_relays(
+                    ReplicaNotices(0, (AgedNotice(notice, _NO_AGE),))
+                )
+                return Ok(None)
             if known is None or notice.state is not ReplicaState.DRAINING:
                 return Ok(None)
         else:
@@ -122,19 +139,21 @@
             )
         items = (AgedNotice(notice, _NO_AGE),)
         if notice.state is ReplicaState.READY:
-            await self._transport.broadcast(ReplicaNotices(0, items))
+            await self._send_to_relays(ReplicaNotices(0, items))
             return Ok(None)
         self._last_message_number += 1
         message = ReplicaNotices(self._last_message_number, items)
-        return await self._broadcast_until_confirmed(notice.replica, message)
+        return await self._send_until_confirmed(notice.replica, message, timeout)
 
-    async def leave(self, replica: str) -> Result[None, NoticeUnconfirmed]:
+    async def leave(
+        self, replica: str, timeout: timedelta = _CONFIRMATION_TIMEOUT
+    ) -> Result[None, NoticeUnconfirmed]:
         """Accept a replica's notice that it has left; the replica may be unknown."""
         self._directory.leave(replica, self._clock.monotonic_time())
         _log.info("replica_left", replica=replica)
         self._last_message_number += 1
-        return await self._broadcast_until_confirmed(
-            replica, ReplicasLeft(self._last_message_number, (replica,))
+        return await self._send_until_confirmed(
+            replica, ReplicasLeft(self._last_message_number, (replica,)), timeout
         )
 
     async def report_leaving(self, notice: ReplicaNotice) -> None:
@@ -146,12 +165,18 @@
         run = ReplicaRun(notice.replica, notice.born)
         if self._directory.mark_leaving(run):
             _log.info("replica_leaving", replica=notice.replica, service=notice.service)
-            await self._transport.broadcast(ReplicasLeaving((run,)))
+            await self._send_to_relays(ReplicasLeaving((run,)))
 
     async def receive(self, sender: str, message: ReplicaGossipMessage) -> None:
         """Handle a message from another instance."""
         now = self._clock.monotonic_time()
+        from_relay = sender in self._relays.names
         match message:
+            case ReplicaNotices() | ReplicasLeft() if (
+                self._relays.is_relay and not from_relay
+            ):
+                # Confirmations take time, so the task that receives does not wait.
+                await spawn(self._relay_forwarded, sender, message, daemon=True)
             case ReplicaNotices(number=number, items=items):
                 for item in items:
                     self._directory.accept(item.notice, now - item.age)
@@ -168,10 +193,14 @@
                     self._directory.leave(replica, now)
                 await self._transport.send(sender, NoticesSeen(number))
             case ReplicasLeaving(runs=runs):
-                for run in runs:
-                    self._directory.mark_leaving(run)
+                changed = [run for run in runs if self._directory.mark_leaving(run)]
+                if changed and self._relays.is_relay and not from_relay:
+                    await self._transport.broadcast(ReplicasLeaving(tuple(changed)))
             case NoticesSeen(number=number):
                 await self._record_confirmation(sender, number)
+            case DirectoryChecksum(checksum=checksum):
+                if checksum != self._directory.checksum():
+                    await self.request_missing(sender)
             case NoticeDigest(runs=versions):
                 newer = tuple(
                     AgedNotice(replica.notice, now - replica.heard_at)
@@ -183,46 +212,46 @@
     async def request_missing(self, name: str) -> None:
         """Request the notices that this instance lacks, by sending it a digest.
 
-        With many instances, no request is sent within 200 ms of the last one.
+        No request is sent within 200 ms of the last one to the same instance.
         """
         now = self._clock.monotonic_time()
-        if self._members.interval_factor > 1:
-            if (
-                self._requested_at is not None
-                and now - self._requested_at < _MIN_REQUEST_INTERVAL
-            ):
-                return
-        self._requested_at = now
+        requested_at = self._requested_at.get(name)
+        if requested_at is not None and now - requested_at < _MIN_REQUEST_INTERVAL:
+            return
+        self._requested_at[name] = now
         await self._transport.send(
             name, NoticeDigest(tuple(self._directory.notice_versions()))
         )
 
     async def run(self) -> None:
-        """Relay repeated notices and send a digest in each round, until cancelled."""
+        """Relay repeated notices and send a digest in each round, until cancelled.
+
+        Only relays do so; the other instances remove what is long gone.
+        """
         started_at = self._clock.monotonic_time()
         relayed_at = started_at
         while True:
             now = self._clock.monotonic_time()
             await self._clock.sleep(self._round_interval(now - started_at))
             now = self._clock.monotonic_time()
-            rounds = min(
-                _RELAY_ROUNDS * ceil(self._members.interval_factor),
-                _MAX_RELAY_ROUNDS,
-            )
-            if self._replicas_to_relay and now - relayed_at >= rounds * _ROUND_INTERVAL:
+            self._directory.expire(now, judge_silence=self._relays.is_relay)
+            if not self._relays.is_relay:
+                self._replicas_to_relay.clear()
+                continue
+            if self._replicas_to_relay and now - relayed_at >= _RELAY_INTERVAL:
                 relayed_at = now
                 await self._relay_repeated()
-            self._directory.expire(now)
-            live = self._live_peers(now)
+            live = self._live_relays(now)
             if live:
-                await self.request_missing(self._random.choice(live))
+                await self._transport.send(
+                    self._random.choice(live),
+                    DirectoryChecksum(self._directory.checksum()),
+                )
 
     def _round_interval(self, uptime: timedelta) -> timedelta:
         if uptime >= _STARTUP_DURATION:
             return _ROUND_INTERVAL
-        return min(
-            _ROUND_INTERVAL, _STARTUP_ROUND_INTERVAL * self._members.interval_factor
-        )
+        return _STARTUP_ROUND_INTERVAL
 
     async def _relay_repeated(self) -> None:
         notices = map(self._directory.repeated_notice, sorted(self._replicas_to_relay))
@@ -230,33 +259,58 @@
         found = tuple(notice for notice in notices if notice is not None)
         await self._transport.broadcast(ReplicasHeard(found))
 
-    def _live_peers(self, now: timedelta) -> list[str]:
-        own = self._members.own_record.instance.name
+    def _live_relays(self, now: timedelta) -> list[str]:
         names = [record.instance.name for record in self._members.live(now)]
-        return [name for name in names if name != own]
+        return [name for name in names if name in self._relays.others]
 
-    async def _broadcast_until_confirmed(
-        self, replica: str, message: ReplicaNotices | ReplicasLeft
+    async def _send_to_relays(self, message: ReplicaGossipMessage) -> None:
+        """Send a message to all other relays or, if this is no relay, to its own."""
+        if self._relays.is_relay:
+            await self._transport.broadcast(message)
+        elif self._relays.chosen is not None:
+            await self._transport.send(self._relays.chosen, message)
+
+    async def _relay_forwarded(
+        self, sender: str, message: ReplicaNotices | ReplicasLeft
+    ) -> None:
+        """Treat what a subscriber got from replicas as this relay's own."""
+        timeout = _FORWARDED_CONFIRMATION_TIMEOUT
+        match message:
+            case ReplicaNotices(items=items):
+                results = [await self.accept(item.notice, timeout) for item in items]
+            case ReplicasLeft(replicas=replicas):
+                results = [await self.leave(replica, timeout) for replica in replicas]
+        if message.number and all(result.is_ok() for result in results):
+            await self._transport.send(sender, NoticesSeen(message.number))
+
+    async def _send_until_confirmed(
+        self,
+        replica: str,
+        message: ReplicaNotices | ReplicasLeft,
+        timeout: timedelta,
     ) -> Result[None, NoticeUnconfirmed]:
-        """Broadcast a message and wait up to 600 ms for all live instances to confirm.
+        """Send a message and wait for all live relays, or the own one, to confirm.
 
-        An instance that does not confirm in time is probably unreachable. One
-        confirmation is then enough, because digests spread the notice to the others.
-        Without any other known instance, none is needed.
+        A relay that does not confirm in time is probably unreachable. One confirmation
+        is then enough, because digests spread the notice to the others. Without any
+        other known instance, none is needed.
 
         Returns
         -------
         Result
             `NoticeUnconfirmed` if other instances are known but none confirmed.
         """
-        live = self._live_peers(self._clock.monotonic_time())
-        await self._transport.broadcast(message)
+        if self._relays.is_relay:
+            live = self._live_relays(self._clock.monotonic_time())
+        else:
+            live = [name for name in (self._relays.chosen,) if name is not None]
+        await self._send_to_relays(message)
         if not live:
             if self._members.known_instances():
                 return Error(NoticeUnconfirmed(replica))
             return Ok(None)
         confirmation = self._confirmations[message.number] = _PendingConfirmation(live)
-        await self._clock.with_timeout(_CONFIRMATION_TIMEOUT, confirmation.done.wait())
+        await self._clock.with_timeout(timeout, confirmation.done.wait())
         del self._confirmations[message.number]
         if not confirmation.confirmed_count:
             _log.warning("leaving_unconfirmed", replica=replica, asked=live)
--- a/src/lovagetray/gateway/__init__.py
+++ b/src/lovagetray/gateway/__init__.py
@@ -6,4 +6,5 @@
     Gateway,
     GatewayFormats,
 )
+from lovagetray.gateway._listing import Listing
 from lovagetray.gateway._replicated_log import agreement_settings
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -17,7 +17,9 @@
 from lovagetray._gateway_settings import GatewaySettings
 from lovagetray._peer_messages import (
     AgreementMessage,
+    DirectoryChecksum,
     Envelope,
+    FeedUpdate,
     Heartbeat,
     KnownInstances,
     NoticeDigest,
@@ -26,6 +28,8 @@
     ReplicasHeard,
     ReplicasLeaving,
     ReplicasLeft,
+    Subscribe,
+    SubscribersHeard,
 )
 from lovagetray._routing_errors import (
     ForwardFailure,
@@ -49,17 +53,19 @@
     REPLICA_CHANNELS,
     ROUTING_VERSION,
 )
+from lovagetray._types import Address
 from lovagetray._violations import Violations
-from lovagetray.commands.discovery import ReplicaGossip
+from lovagetray.commands.discovery import FeedPublisher, ReplicaGossip, Subscription
 from lovagetray.commands.routing import put_document
 from lovagetray.gateway._dispatcher import Dispatcher
-from lovagetray.gateway._instances import Instances
+from lovagetray.gateway._instances import Instances, RelayTransport
+from lovagetray.gateway._listing import Listing
 from lovagetray.gateway._replica_connections import ReplicaConnections
 from lovagetray.gateway._replicated_log import open_gateway_log
 from lovagetray.queries.dispatch import DispatchDependencies, RequestEncoder
 from lovagetray.queries.gathering import GatheredAnswer
 from lovagetray.queries.load_balancing import LoadBalancer, RetryBudget
-from lovagetray.queries.routing import AddressList, addresses_for, current_document
+from lovagetray.queries.routing import AddressList, current_document
 from lovagetray.replicated_log import (
     NamespaceProposer,
     ReplicatedState,
@@ -168,12 +174,31 @@
         self._instances = Instances(settings, clock, random)
         self._members = self._instances.members
         self._peers = self._instances.peers
+        relays = self._instances.relays
+        transport = RelayTransport(self._peers, relays)
         self._replica_gossip = ReplicaGossip(
-            self._directory, self._members, self._peers, clock, random
+            self._directory, self._members, relays, transport, clock, random
+        )
+        self._feed_publisher = FeedPublisher(
+            self._members.own_record.instance.incarnation,
+            self._members,
+            self._directory,
+            relays,
+            transport,
+            clock,
+            lambda: self._agreement.quorum_contact_age(),
+        )
+        self._subscription = Subscription(
+            self._members, self._directory, relays, transport, clock
         )
         limits = settings.retry_budget
+        self._listing = Listing(self._members, self._directory, clock)
         budget = RetryBudget(
-            limits.ratio, limits.fixed, limits.window, clock, self._instances.count
+            limits.ratio,
+            limits.fixed,
+            limits.window,
+            clock,
+            self._listing.budget_sharers,
         )
         self._balancer = LoadBalancer(
             self._directory, budget, clock, random, settings.data_centre
@@ -184,7 +209,7 @@
             self._directory,
             self._balancer,
             clock,
-            self._instances.count,
+            self._listing.connection_sharers,
         )
         self._dispatcher: Dispatcher | None = None
 
@@ -232,6 +257,18 @@
         """
         return await self._replica_gossip.accept(notice)
 
+    def notice_address(self, notice: ReplicaNotice) -> Address | None:
+        """Return the control address for the later notices of a replica.
+
+        It is that of the relay in the replica's data centre, which need not forward
+        them. None if any instance will do.
+        """
+        relay = self._instances.relay_for(notice.replica, notice.data_centre)
+        if relay is None:
+            return None
+        # All instances listen on the same control port.
+        return Address(Address.parse(relay).host, self._settings.addresses.control.port)
+
     async def deregister_replica(self, replica: str) -> Result[None, NoticeUnconfirmed]:
         """Accept a replica's notice that it has left.
 
@@ -245,12 +282,11 @@
         A list must expire before an instance on it can stop accepting requests, even if
         the stop signal arrives right after the list was sent.
         """
-        now = self._clock.monotonic_time()
         max_lifetime = (
             self._settings.grace_period - _COMPLETION_TIME - _ADDRESS_LIST_MARGIN
         )
         lifetime = min(self._settings.address_lifetime, max_lifetime)
-        return addresses_for(self._members, now, lifetime)
+        return self._listing.addresses(lifetime)
 
     def metrics(self) -> bytes:
         """Return the metrics in the text format of Prometheus."""
@@ -333,10 +369,12 @@
                 ),
                 "keep_warm": (
                     self._connections.keep_warm,
-                    (connection_pool, lambda: self.ready),
+                    (connection_pool, lambda: self.ready and self._listing.is_listed),
                 ),
                 "instance_gossip": (self._instances.gossip, ()),
-                "live_list": (self._instances.follow_live_list, ()),
+                "topology": (self._instances.follow_topology, ()),
+                "feed_publisher": (self._feed_publisher.run, ()),
+                "subscription": (self._subscription.run, ()),
             }
             for name, (work, arguments) in endless.items():
                 await group.spawn(run_restarting, name, self._clock, work, *arguments)
@@ -434,8 +472,13 @@
         sender = envelope.sender.name
         self._members.record_message(envelope.sender, now)
         match envelope.message:
-            case Heartbeat() | KnownInstances() as message:
-                await self._instances.receive(message, now)
+            case Heartbeat() | KnownInstances() | SubscribersHeard() as message:
+                await self._instances.receive(sender, message, now)
+            case Subscribe() as message:
+                await self._instances.receive(sender, Heartbeat(message.record), now)
+                await self._feed_publisher.receive_subscription(message)
+            case FeedUpdate() as message:
+                await self._subscription.receive(sender, message)
             case message if isinstance(message, AgreementMessage):
                 await self._agreement.handle(sender, message)
             case (
@@ -444,6 +487,7 @@
                 | ReplicasLeft()
                 | ReplicasLeaving()
                 | NoticesSeen()
+                | DirectoryChecksum()
                 | NoticeDigest() as message
             ):
                 await self._replica_gossip.receive(sender, message)
--- a/src/lovagetray/gateway/_instances.py
+++ b/src/lovagetray/gateway/_instances.py
@@ -2,31 +2,61 @@
 
 from datetime import timedelta
 from random import Random
+from typing import NamedTuple
 
 from structlog import get_logger
 
 from lovagetray._clock import Clock
 from lovagetray._gateway_settings import GatewaySettings
-from lovagetray._peer_messages import Heartbeat, KnownInstances
+from lovagetray._peer_messages import (
+    Heartbeat,
+    KnownInstances,
+    PeerMessage,
+    SubscribersHeard,
+)
 from lovagetray._types import Address, InstanceId
 from lovagetray.commands.agreement import Agreement
 from lovagetray.commands.discovery import ReplicaGossip
-from lovagetray.state import InstanceRecord, InstanceState, Members
+from lovagetray.queries.membership import MAX_MESH_INSTANCES, choose_relay, relay_names
+from lovagetray.state import (
+    InstanceRecord,
+    InstanceState,
+    KnownInstance,
+    Members,
+    Relays,
+)
 from lovagetray.wire import PeerTransport
 
 _log = get_logger()
 # Callers wait 1 s for an instance that does not answer; failures are detected sooner.
 _HEARTBEAT_INTERVAL = timedelta(milliseconds=300)
 _FAILURE_TIMEOUT = timedelta(milliseconds=950)
-# Up to this many instances exchange heartbeats at the full rate. With 11 instances,
-# this takes 0.03 of a core at each.
-_FULL_RATE_INSTANCES = 12
-# Interval for reading the live list of the leader, and the maximum age of that list.
-_LIVE_LIST_INTERVAL = timedelta(milliseconds=250)
-_MAX_LIVE_LIST_AGE = timedelta(seconds=2)
+# A subscriber is heard by its relay every 500 ms, and the other relays are told as
+# often, and of a lost one at once.
+_SUBSCRIBER_FAILURE_TIMEOUT = timedelta(seconds=2)
+# Interval of heartbeats between a relay and an instance that subscribes to another one.
+# They only make an instance that started again known.
+_DISTANT_INTERVAL = timedelta(seconds=10)
+_TOPOLOGY_INTERVAL = timedelta(milliseconds=250)
 _GOSSIP_INTERVAL = timedelta(seconds=1)
 
 
+class RelayTransport(NamedTuple):
+    """Transport whose broadcasts go to the other relays only."""
+
+    peers: PeerTransport
+    relays: Relays
+
+    async def send(self, name: str, message: PeerMessage) -> object:
+        """Queue a message to one instance."""
+        return await self.peers.send(name, message)
+
+    async def broadcast(self, message: PeerMessage) -> None:
+        """Queue a message to every other relay."""
+        for name in self.relays.others:
+            await self.peers.send(name, message)
+
+
 class Instances:
     """The other instances: their records, their liveness and the transport to them.
 
@@ -42,8 +72,11 @@
         self._seeds = settings.seeds
         self._clock = clock
         self._random = random
+        self.relays = Relays(settings.name)
+        # Largest number of instances that another one knows.
+        self._fleet_size = 1
         self.members = Members(
-            _own_record(settings, random), _FAILURE_TIMEOUT, _FULL_RATE_INSTANCES
+            _own_record(settings, random), _FAILURE_TIMEOUT, self._failure_timeout_of
         )
         self.peers = PeerTransport(
             self.members.own_record.instance,
@@ -53,7 +86,8 @@
             self._time_since_heard,
             _FAILURE_TIMEOUT,
             _HEARTBEAT_INTERVAL,
-            lambda: self.members.interval_factor,
+            self._is_close,
+            _DISTANT_INTERVAL,
         )
 
     def attach(self, agreement: Agreement, replica_gossip: ReplicaGossip) -> None:
@@ -65,6 +99,17 @@
         """Return the number of known instances, including this one."""
         return len(self.members.known_instances()) + 1
 
+    def relay_for(self, name: str, data_centre: str) -> str | None:
+        """Return the live relay for a replica; None if all instances are relays."""
+        if self._is_mesh():
+            return None
+        now = self._clock.monotonic_time()
+        records = self.members.live(now)
+        live = {record.instance.name for record in records}
+        return choose_relay(
+            name, data_centre, self.relays.names & live, records, failed=()
+        )
+
     def heartbeat(self) -> Heartbeat:
         """Return the heartbeat message, with the record of this instance."""
         return Heartbeat(self.members.own_record)
@@ -95,55 +140,118 @@
         await self.peers.send(name, self.heartbeat())
 
     async def receive(
-        self, message: Heartbeat | KnownInstances, now: timedelta
+        self,
+        sender: str,
+        message: Heartbeat | KnownInstances | SubscribersHeard,
+        now: timedelta,
     ) -> None:
-        """Handle another instance's record of itself or its list of instances."""
+        """Handle records of another instance, of itself or of those that it knows."""
         match message:
             case Heartbeat(record=record):
                 await self._receive_record(record, now)
-            case KnownInstances(records=records):
+            case KnownInstances(records=records, total=total):
+                self._fleet_size = max(self._fleet_size, total)
+                self._update_relays()
+                for record in records:
+                    await self._meet(record.instance.name, record.peer_address)
+            case SubscribersHeard(names=names, records=records, lost=lost):
                 for record in records:
-                    await self.add_peer(record.instance.name, record.peer_address)
+                    self.members.update_record(record, now)
+                    await self._meet(record.instance.name, record.peer_address)
+                self.members.record_heard(sender, names, now)
+                self.members.record_lost(sender, lost)
 
-    async def follow_live_list(self) -> None:
-        """Copy the live list of the leader, unless it is outdated, until cancelled."""
+    async def follow_topology(self) -> None:
+        """Keep up with who is a relay, and with whom messages are exchanged."""
         while True:
-            await self._clock.sleep(_LIVE_LIST_INTERVAL)
-            age = self._agreement.quorum_contact_age()
-            if age is not None and age <= _MAX_LIVE_LIST_AGE and self._agreement.live:
-                self.members.update_live_list(
-                    self._agreement.live, self._clock.monotonic_time()
-                )
+            self._update_relays()
+            await self._adjust_peers()
+            await self._clock.sleep(_TOPOLOGY_INTERVAL)
 
     async def gossip(self) -> None:
-        """Send the known instances to a random peer each second, until cancelled."""
+        """Send the known instances to a random relay each second, until cancelled.
+
+        Instances that all exchange messages learn of each other so. A larger number of
+        them learn of each other from the relays.
+        """
         while True:
             await self._clock.sleep(_GOSSIP_INTERVAL)
             names = self.peers.names
-            if names:
+            if names and self._is_mesh():
                 await self.peers.send(
                     self._random.choice(names), self._known_instances()
                 )
 
+    def _update_relays(self) -> None:
+        was_relay = self.relays.is_relay
+        known = {known.record.instance.name for known in self._known()}
+        self.relays.update(
+            relay_names(
+                known | {self._name},
+                self._agreement.voters.names,
+                [str(seed) for seed in self._seeds],
+                self._is_mesh(),
+            )
+        )
+        if self.relays.is_relay == was_relay:
+            return
+        _log.info("relay_role", relay=self.relays.is_relay)
+        if self.relays.is_relay:
+            self.members.judge_itself(self._clock.monotonic_time())
+
     async def _receive_record(self, record: InstanceRecord, now: timedelta) -> None:
         """Update an instance's record; exchange what is known with a new instance."""
         name = record.instance.name
         known = self.members.record(name)
         self.members.update_record(record, now)
-        await self.add_peer(name, record.peer_address)
+        if known is None:
+            self._update_relays()
+        await self._meet(name, record.peer_address)
         if known is None or known.instance != record.instance:
             _log.info("instance_met", instance=name, state=record.state.value)
             await self.peers.send(name, self.heartbeat())
             await self.peers.send(name, self._known_instances())
-            await self._replica_gossip.request_missing(name)
+            if name in self.relays.names:
+                await self._replica_gossip.request_missing(name)
+
+    async def _meet(self, name: str, address: Address) -> None:
+        """Exchange messages with an instance if one of both is a relay."""
+        if self._is_mesh() or self.relays.is_relay or name in self.relays.names:
+            await self.add_peer(name, address)
+
+    async def _adjust_peers(self) -> None:
+        """Start and stop exchanging messages, as the relays have changed."""
+        if self._is_mesh():
+            return
+        for known in self._known():
+            record = known.record
+            await self._meet(record.instance.name, record.peer_address)
+        for name in self.relays.others:
+            await self.add_peer(name, Address.parse(name))
+        if not self.relays.is_relay:
+            seeds = {str(seed) for seed in self._seeds}
+            for name in set(self.peers.names) - self.relays.names - seeds:
+                await self.peers.remove(name)
+
+    def _is_mesh(self) -> bool:
+        """Return whether all instances exchange messages with each other."""
+        return max(self.count(), self._fleet_size) <= MAX_MESH_INSTANCES
+
+    def _known(self) -> tuple[KnownInstance, ...]:
+        return self.members.known_instances()
+
+    def _is_close(self, name: str) -> bool:
+        """Return whether heartbeats are exchanged with an instance at the full rate."""
+        return self.relays.is_relay and name in self.relays.names
+
+    def _failure_timeout_of(self, name: str) -> timedelta:
+        if name in self.relays.names:
+            return _FAILURE_TIMEOUT
+        return _SUBSCRIBER_FAILURE_TIMEOUT
 
     def _known_instances(self) -> KnownInstances:
-        return KnownInstances(
-            tuple(
-                known_instance.record
-                for known_instance in self.members.known_instances()
-            )
-        )
+        records = [known.record for known in self._known()] if self._is_mesh() else []
+        return KnownInstances(tuple(records), self.count())
 
     def _time_since_heard(self, name: str) -> timedelta:
         return self.members.time_since_heard(name, self._clock.monotonic_time())
--- a/src/lovagetray/gateway/_replica_connections.py
+++ b/src/lovagetray/gateway/_replica_connections.py
@@ -46,7 +46,7 @@
             return ConnectionLimits(1, 1)
         return connection_limits(
             notice,
-            lambda: self.directory.usable(notice.service, self.clock.monotonic_time()),
+            lambda: self.directory.usable(notice.service),
             spec.max_connections,
             self.instances(),
             self.settings.name,
@@ -94,8 +94,8 @@
         return [
             notice
             for service in sorted(services)
-            for notice in self.directory.usable(service, now)
-            if not connection_pool.is_connected(notice)
+            for notice in self.directory.usable(service)
+            if connection_pool.needs_connection(notice)
             and now >= self.balancer.replica_stats(notice.replica).backoff_until
             and self.limits(notice).soft_limit
         ]
--- a/src/lovagetray/gateway/_replicated_log.py
+++ b/src/lovagetray/gateway/_replicated_log.py
@@ -79,7 +79,11 @@
         data_folder=settings.data_folder,
         process_started_at=process_started_at,
     )
-    log_settings = agreement_settings(settings.tolerated_failures)
+    # Gateways own no replicas, so they need no leases; with 200 instances the list
+    # would be most of what the leader sends.
+    log_settings = agreement_settings(settings.tolerated_failures)._replace(
+        live_list=False
+    )
     return await open_agreement(
         config, log_settings, clock, transport, violations, machine
     )
--- a/src/lovagetray/platform/_control_handler.py
+++ b/src/lovagetray/platform/_control_handler.py
@@ -108,7 +108,9 @@
                 return _error_response(400, str(unreadable))
         match await self._gateway.accept_notice(notice):
             case Result(tag="ok"):
-                return HttpResponse(200, dict(_JSON), b"{}")
+                address = self._gateway.notice_address(notice)
+                document = {} if address is None else {"HeartbeatAddr": str(address)}
+                return HttpResponse(200, dict(_JSON), encode(document))
             case Result(error=unconfirmed):
                 return _error_response(503, str(unconfirmed))
 
--- a/src/lovagetray/queries/load_balancing/_load_balancer.py
+++ b/src/lovagetray/queries/load_balancing/_load_balancer.py
@@ -103,7 +103,7 @@
         """
         now = self._clock.monotonic_time()
         return choose_replica(
-            self._directory.usable(service, now),
+            self._directory.usable(service),
             tried,
             self.replica_stats,
             self.hedge_delay(route),
@@ -119,7 +119,7 @@
         return sum(self._is_reachable(service, now) for service in services)
 
     def _is_reachable(self, service: str, now: timedelta) -> bool:
-        for notice in self._directory.usable(service, now):
+        for notice in self._directory.usable(service):
             stats = self.replica_stats(notice.replica)
             if max(stats.backoff_until, stats.refuses_until) <= now:
                 return True
@@ -151,7 +151,7 @@
                 )
                 for notice in usable
             )
-            for usable in (self._directory.usable(name, now) for name in services)
+            for usable in (self._directory.usable(name) for name in services)
             if usable
         )
         return waits[min(max(needed, 1), len(waits)) - 1] if waits else timedelta(0)
--- a/src/lovagetray/queries/membership/__init__.py
+++ b/src/lovagetray/queries/membership/__init__.py
@@ -6,3 +6,8 @@
     owner_of,
     ownership_ranking,
 )
+from lovagetray.queries.membership._relays import (
+    MAX_MESH_INSTANCES,
+    choose_relay,
+    relay_names,
+)
--- a/src/lovagetray/state/__init__.py
+++ b/src/lovagetray/state/__init__.py
@@ -8,6 +8,14 @@
     AuditSnapshot,
     verify_chain,
 )
+from lovagetray.state._directory_feed import (
+    DirectoryFeed,
+    FedInstance,
+    FedReplica,
+    FeedChanges,
+    FeedEntry,
+    FeedPosition,
+)
 from lovagetray.state._lease import LEASE_DURATION, LeaseView
 from lovagetray.state._ledger import (
     AlreadyBegun,
@@ -41,7 +49,12 @@
     KnownInstance,
     Members,
 )
-from lovagetray.state._replica_directory import KnownReplica, ReplicaDirectory
+from lovagetray.state._relays import Relays
+from lovagetray.state._replica_directory import (
+    KnownReplica,
+    ReplicaDirectory,
+    is_repetition,
+)
 from lovagetray.state._routing import (
     DocumentDecoder,
     RoutingState,
--- a/src/lovagetray/state/_members.py
+++ b/src/lovagetray/state/_members.py
@@ -1,12 +1,15 @@
 """Membership: the instances that this instance knows and which of them are live."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from enum import Enum
 from typing import NamedTuple
 
 from lovagetray._types import Address, InstanceId
 
+# Earlier than any time on the monotonic clock.
+_NEVER = timedelta(days=-1)
+
 
 class InstanceState(Enum):
     """The state that an instance announces."""
@@ -39,11 +42,18 @@
     Parameters
     ----------
     heard_at
-        Monotonic time of the last message from the instance.
+        Monotonic time of the last message from the instance, also to another relay.
+    live
+        Whether the instance is live, as stated by the relay that this instance
+        subscribes to; None if this instance judges by `heard_at`.
+    heard_by
+        The relay that heard the instance last; None if this instance did.
     """
 
     record: InstanceRecord
     heard_at: timedelta
+    live: bool | None = None
+    heard_by: str | None = None
 
 
 class Members:
@@ -54,44 +64,27 @@
     own_record
         Record of this instance.
     failure_timeout
-        Silence after which an instance counts as failed, at the full message rate.
-    full_rate_instances
-        Maximum number of instances that send messages to each other at the full rate.
-        If there are more, each sends less often, so that the number of messages that an
-        instance receives per second stays the same, and the live list of the leader
-        decides which instances are live. None: no maximum.
+        Silence after which an instance counts as failed.
+    timeout_of
+        Returns the silence after which the instance of a name counts as failed; by
+        default `failure_timeout` for all.
     """
 
     def __init__(
         self,
         own_record: InstanceRecord,
         failure_timeout: timedelta,
-        full_rate_instances: int | None = None,
+        timeout_of: Callable[[str], timedelta] | None = None,
     ) -> None:
         self._own_record = own_record
-        self._full_rate_timeout = failure_timeout
-        self._full_rate_instances = full_rate_instances
+        self._timeout_of = timeout_of or (lambda name: failure_timeout)
         self._known_instances: dict[str, KnownInstance] = {}
-        self._live_list: frozenset[str] = frozenset()
-        self._live_list_at: timedelta | None = None
 
     @property
     def own_record(self) -> InstanceRecord:
         """The record of this instance."""
         return self._own_record
 
-    @property
-    def interval_factor(self) -> float:
-        """The factor by which the interval between messages is longer; at least 1."""
-        if self._full_rate_instances is None:
-            return 1.0
-        return max(1.0, (len(self._known_instances) + 1) / self._full_rate_instances)
-
-    @property
-    def failure_timeout(self) -> timedelta:
-        """The silence after which an instance counts as failed."""
-        return self._full_rate_timeout * self.interval_factor
-
     def change_own_state(self, state: InstanceState) -> None:
         """Set the announced state of this instance."""
         self._own_record = self._own_record._replace(state=state)
@@ -103,20 +96,61 @@
     def update_record(self, record: InstanceRecord, heard_at: timedelta) -> None:
         """Store the record of another instance, received at `heard_at`."""
         if record.instance.name != self._own_record.instance.name:
+            known = self._known_instances.get(record.instance.name)
+            live = None if known is None else known.live
             self._known_instances[record.instance.name] = KnownInstance(
-                record, heard_at
+                record, heard_at, live
             )
 
     def record_message(self, instance: InstanceId, heard_at: timedelta) -> None:
         """Record a message from a known run of an instance; ignore other runs."""
         known = self._known_instances.get(instance.name)
         if known is not None and known.record.instance == instance:
-            self._known_instances[instance.name] = known._replace(heard_at=heard_at)
+            self._known_instances[instance.name] = known._replace(
+                heard_at=heard_at, heard_by=None
+            )
 
-    def update_live_list(self, names: Iterable[str], now: timedelta) -> None:
-        """Store the names on the live list of the leader, received at `now`."""
-        self._live_list = frozenset(names)
-        self._live_list_at = now
+    def record_heard(
+        self, relay: str, names: Iterable[str], heard_at: timedelta
+    ) -> None:
+        """Record that another relay has heard instances."""
+        for name in names:
+            known = self._known_instances.get(name)
+            if known is not None and known.heard_at < heard_at:
+                self._known_instances[name] = known._replace(
+                    heard_at=heard_at, heard_by=relay
+                )
+
+    def record_lost(self, relay: str | None, names: Iterable[str]) -> None:
+        """Count instances as failed that a relay has lost, unless another heard them.
+
+        Parameters
+        ----------
+        relay
+            The relay that has lost them; None for this instance.
+        """
+        for name in names:
+            known = self._known_instances.get(name)
+            if known is not None and known.heard_by == relay:
+                self._known_instances[name] = known._replace(heard_at=_NEVER)
+
+    def follow(self, record: InstanceRecord, live: bool, now: timedelta) -> None:
+        """Store a record and the relay's judgement whether the instance is live."""
+        name = record.instance.name
+        if name != self._own_record.instance.name:
+            known = self._known_instances.get(name)
+            heard_at = now if known is None else known.heard_at
+            self._known_instances[name] = KnownInstance(record, heard_at, live)
+
+    def judge_itself(self, now: timedelta) -> None:
+        """Judge by own messages which instances are live, as a relay does.
+
+        Instances that were live count as heard now.
+        """
+        for name, known in self._known_instances.items():
+            if known.live is not None:
+                heard_at = now if known.live else known.heard_at
+                self._known_instances[name] = KnownInstance(known.record, heard_at)
 
     def record(self, name: str) -> InstanceRecord | None:
         """Return the last record of an instance, or None if it is unknown."""
@@ -138,19 +172,18 @@
         """Return the records of this instance and the live others, sorted by name."""
         heard = [
             known.record
-            for name, known in self._known_instances.items()
-            if self._is_live(name, known, now)
+            for known in self._known_instances.values()
+            if self.is_live(known, now)
         ]
         return sorted(
             [self._own_record, *heard], key=lambda record: record.instance.name
         )
 
-    def _is_live(self, name: str, known: KnownInstance, now: timedelta) -> bool:
-        listed_at = self._live_list_at
-        if self.interval_factor > 1 and listed_at is not None:
-            if now - listed_at <= self._full_rate_timeout:
-                return name in self._live_list
-        return now - known.heard_at <= self.failure_timeout
+    def is_live(self, known: KnownInstance, now: timedelta) -> bool:
+        """Return whether another instance is live."""
+        if known.live is not None:
+            return known.live
+        return now - known.heard_at <= self._timeout_of(known.record.instance.name)
 
     def serving(self, now: timedelta) -> list[InstanceRecord]:
         """Return the live instances that accept new work, sorted by name."""
--- a/src/lovagetray/state/_replica_directory.py
+++ b/src/lovagetray/state/_replica_directory.py
@@ -29,11 +29,20 @@
         Monotonic time at which the notice was last heard.
     leaving
         Whether the replica has stated in a response of this run that it is leaving.
+    silent
+        Whether no notice was heard for the lifetime of a notice.
     """
 
     notice: ReplicaNotice
     heard_at: timedelta
     leaving: bool = False
+    silent: bool = False
+
+    @property
+    def usable(self) -> bool:
+        """Whether the replica takes requests."""
+        ready = self.notice.state is ReplicaState.READY
+        return ready and not self.leaving and not self.silent
 
 
 class ReplicaDirectory:
@@ -56,6 +65,11 @@
         self._replicas: dict[str, KnownReplica] = {}
         self._replica_at_address: dict[Address, str] = {}
         self._replicas_by_service: dict[str, dict[str, KnownReplica]] = {}
+        # Look-ups are far more frequent than changes.
+        self._usable: dict[str, list[ReplicaNotice]] = {}
+        self._revision = 0
+        self._checksum = 0
+        self._checksum_revision = -1
 
     def accept(self, notice: ReplicaNotice, heard_at: timedelta) -> bool:
         """Store a notice and return whether other instances must hear of it at once.
@@ -65,7 +79,7 @@
         stored = self._replicas.get(notice.replica)
         if stored is not None and notice.order <= stored.notice.order:
             return False
-        changed = stored is None or _urgent_part(stored.notice) != _urgent_part(notice)
+        changed = stored is None or not is_repetition(stored.notice, notice)
         if self._is_superseded(notice):
             notice = notice._replace(state=ReplicaState.LEFT)
             changed = stored is None or stored.notice.state is not ReplicaState.LEFT
@@ -127,27 +141,57 @@
         stored = self._replicas.get(replica)
         return None if stored is None else stored.notice
 
-    def usable(self, service: str, now: timedelta) -> list[ReplicaNotice]:
-        """Return the ready replicas of a service that were heard within `lifetime`."""
-        heard_since = now - self._lifetime
-        return [
-            known.notice
-            for known in self._replicas_by_service.get(service, {}).values()
-            if known.heard_at >= heard_since
-            and known.notice.state is ReplicaState.READY
-            and not known.leaving
-        ]
+    def usable(self, service: str) -> list[ReplicaNotice]:
+        """Return the notices of the usable replicas of a service."""
+        usable = self._usable.get(service)
+        if usable is None:
+            usable = self._usable[service] = [
+                known.notice
+                for known in self._replicas_by_service.get(service, {}).values()
+                if known.usable
+            ]
+        return usable
 
     def is_usable(self, notice: ReplicaNotice) -> bool:
-        """Return whether a replica is ready, at the address of an earlier notice."""
+        """Return whether a replica is usable at the address of an earlier notice."""
         known = self._replicas.get(notice.replica)
         return (
             known is not None
-            and known.notice.state is ReplicaState.READY
+            and known.usable
             and known.notice.address == notice.address
-            and not known.leaving
         )
 
+    @property
+    def revision(self) -> int:
+        """A number that rises with each change other than a repeated notice."""
+        return self._revision
+
+    def checksum(self) -> int:
+        """Return a checksum of all notices without what each repetition changes."""
+        if self._checksum_revision != self._revision:
+            self._checksum_revision = self._revision
+            self._checksum = 0
+            for known in self._replicas.values():
+                # The sum does not depend on the order of the replicas.
+                self._checksum += crc32(repr(_urgent_part(known.notice)).encode())
+        return self._checksum
+
+    def known_replicas(self) -> Iterable[KnownReplica]:
+        """Return all replicas, usable or not."""
+        return self._replicas.values()
+
+    def follow(
+        self, notice: ReplicaNotice, leaving: bool, silent: bool, now: timedelta
+    ) -> None:
+        """Store what a relay states about a replica, unless a newer notice is known."""
+        stored = self._replicas.get(notice.replica)
+        if stored is not None and stored.notice.order > notice.order:
+            return
+        self._store(notice, now)
+        stored = self._replicas[notice.replica]
+        leaving = leaving or stored.leaving
+        self._put(stored._replace(leaving=leaving, silent=silent))
+
     def mark_leaving(self, run: ReplicaRun) -> bool:
         """Stop using a run of a replica that stated in a response that it is leaving.
 
@@ -162,9 +206,7 @@
         known = self._replicas.get(run.replica)
         if known is None or known.leaving or known.notice.born != run.born:
             return False
-        known = known._replace(leaving=True)
-        self._replicas[run.replica] = known
-        self._replicas_by_service[known.notice.service][run.replica] = known
+        self._put(known._replace(leaving=True))
         return True
 
     def notice_versions(self) -> Iterator[NoticeVersion]:
@@ -182,11 +224,21 @@
             > orders.get(known.notice.replica, _BEFORE_ALL_NOTICES)
         ]
 
-    def expire(self, now: timedelta) -> None:
-        """Remove the replicas that were silent for longer than `retention`."""
+    def expire(self, now: timedelta, judge_silence: bool = True) -> None:
+        """Mark silent replicas and remove those that stay silent or have left.
+
+        Parameters
+        ----------
+        judge_silence
+            False if a relay states which replicas are silent. Only replicas that it
+            states to be silent, or that have left, are removed then.
+        """
         for known in list(self._replicas.values()):
-            if now - known.heard_at > self._retention:
+            silence = now - known.heard_at
+            if silence > self._retention and (judge_silence or not known.usable):
                 self._remove(known.notice)
+            elif judge_silence and silence > self._lifetime and not known.silent:
+                self._put(known._replace(silent=True))
 
     def _is_superseded(self, notice: ReplicaNotice) -> bool:
         """Return whether a replica that started later uses the address of a notice."""
@@ -206,24 +258,51 @@
             stored is not None and stored.leaving and stored.notice.born == notice.born
         )
         known = KnownReplica(notice, heard_at, leaving)
-        self._replicas[notice.replica] = known
-        self._replicas_by_service.setdefault(notice.service, {})[notice.replica] = known
+        repeated = (
+            stored is not None
+            and not stored.silent
+            and is_repetition(stored.notice, notice)
+        )
+        self._put(known, repeated)
         if notice.state is not ReplicaState.LEFT:
             self._replica_at_address[notice.address] = notice.replica
 
     def _mark_left(self, replica: str) -> None:
         known = self._replicas[replica]
         left = known._replace(notice=known.notice._replace(state=ReplicaState.LEFT))
-        self._replicas[replica] = left
-        self._replicas_by_service[known.notice.service][replica] = left
+        self._put(left)
+
+    def _put(self, known: KnownReplica, repeated: bool = False) -> None:
+        notice = known.notice
+        self._revision += not repeated
+        self._replicas[notice.replica] = known
+        self._replicas_by_service.setdefault(notice.service, {})[notice.replica] = known
+        self._usable.pop(notice.service, None)
 
     def _remove(self, notice: ReplicaNotice) -> None:
+        self._usable.pop(notice.service, None)
         self._replicas.pop(notice.replica, None)
         self._replicas_by_service.get(notice.service, {}).pop(notice.replica, None)
         if self._replica_at_address.get(notice.address) == notice.replica:
             del self._replica_at_address[notice.address]
 
 
+def is_repetition(notice: ReplicaNotice, other: ReplicaNotice) -> bool:
+    """Return whether two notices differ only in what each repetition changes.
+
+    These are the sequence and the rest of a warm-up that is not over in either.
+    """
+    return (
+        notice.state is other.state
+        and notice.born == other.born
+        and notice.address == other.address
+        and notice.service == other.service
+        and notice.data_centre == other.data_centre
+        and notice.slots == other.slots
+        and bool(notice.warm_up) == bool(other.warm_up)
+    )
+
+
 def _content_checksum(notice: ReplicaNotice) -> int:
     return crc32(repr(_urgent_part(notice)).encode())
 
--- a/src/lovagetray/targets/_channel.py
+++ b/src/lovagetray/targets/_channel.py
@@ -183,6 +183,8 @@
         self._sending = False
         self._broken = False
         self._received_response = False
+        self._established = False
+        self._carried_request = False
         self.notice = notice
         self.task: Any = None
         self.idle_since = clock.monotonic_time()
@@ -193,6 +195,11 @@
         """The exchange in flight, if any."""
         return self._exchange
 
+    @property
+    def was_idle(self) -> bool:
+        """Whether the connection was established and has carried no request."""
+        return self._established and not self._carried_request
+
     @property
     def usable(self) -> bool:
         """Whether the connection is open and idle."""
@@ -209,6 +216,7 @@
                 if first is None or first.abandoned_at is not None:
                     self._exchange = None
                     first = self._on_idle(self)
+                self._established = True
                 if first is not None:
                     await self.send(first)
                 await self._read()
@@ -227,6 +235,7 @@
     async def send(self, exchange: Exchange) -> None:
         """Send an exchange on the idle connection; its waiter receives the outcome."""
         self._exchange = exchange
+        self._carried_request = True
         exchange.sent_at = self._clock.monotonic_time()
         self._sending = True
         try:
--- a/src/lovagetray/targets/_connection_pool.py
+++ b/src/lovagetray/targets/_connection_pool.py
@@ -76,6 +76,8 @@
         self.idle: list[Channel] = []
         self.queued: deque[Exchange] = deque()
         self.backoff_until = timedelta(0)
+        # Whether the last connection ended unused after its idle timeout.
+        self.unused = False
 
     def take_idle(self) -> Channel | None:
         """Remove and return the most recently used idle connection, or None."""
@@ -155,10 +157,14 @@
             else Availability.ABOVE_SOFT_LIMIT
         )
 
-    def is_connected(self, notice: ReplicaNotice) -> bool:
-        """Return whether a connection to a replica is open or being opened."""
+    def needs_connection(self, notice: ReplicaNotice) -> bool:
+        """Return whether a connection should be opened before an exchange needs it.
+
+        Not if one is open, or if the last one was never used: the next one would also
+        be closed again after its idle timeout.
+        """
         replica = self._replicas.get(_key(notice))
-        return replica is not None and bool(replica.open)
+        return replica is None or not (replica.open or replica.unused)
 
     async def start(self, exchange: Exchange) -> bool:
         """Send an exchange on an idle or a new connection, or queue it for one.
@@ -169,6 +175,7 @@
             False if the queue of the replica is full.
         """
         replica = self._channels_of(exchange.notice)
+        replica.unused = False
         channel = replica.take_idle()
         if channel is not None:
             await channel.send(exchange)
@@ -249,7 +256,8 @@
             replica.open.remove(channel)
             if channel in replica.idle:
                 replica.idle.remove(channel)
-            if not received_response:
+            replica.unused = not received_response and channel.was_idle
+            if not received_response and not channel.was_idle:
                 # The replica is at its connection limit or unreachable.
                 replica.backoff_until = self._clock.monotonic_time() + _CONNECT_BACKOFF
 
--- a/src/lovagetray/wire/_peers.py
+++ b/src/lovagetray/wire/_peers.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from typing import Any
 
-from curio import Queue, TaskGroup
+from curio import Queue, Task, TaskGroup
 from curio.traps import _read_wait
 from expression import Result
 from prometheus_client import Counter
@@ -14,6 +14,8 @@
     DEALER,
     EVENTS,
     FD,
+    HEARTBEAT_IVL,
+    HEARTBEAT_TIMEOUT,
     IMMEDIATE,
     LINGER,
     NOBLOCK,
@@ -33,7 +35,7 @@
     RunSubRequests,
     SubRequestOutcomes,
 )
-from lovagetray._task_failures import report_task_failure
+from lovagetray._task_failures import report_task_failure, run_restarting
 from lovagetray._types import Address, InstanceId
 from lovagetray.wire._peer_codec import decode_envelope, encode_envelope
 
@@ -49,6 +51,11 @@
 # A machine without power does not answer a connection attempt, and the operating system
 # repeats a lost one only after a second; instances are at most 2 ms apart.
 _CONNECT_TIMEOUT = timedelta(milliseconds=400)
+# The ZeroMQ library pings a connection that is otherwise unused at this interval, and
+# replaces it if nothing comes back. Only this shows that a connection has gone silent:
+# the peer may still be heard on the connection that it opened itself.
+_PING_INTERVAL = timedelta(seconds=2)
+_PING_TIMEOUT = timedelta(seconds=2)
 
 MessageHandler = Callable[[Envelope], Awaitable[None]]
 
@@ -69,8 +76,11 @@
         Silence after which the connection to a peer is replaced.
     interval
         Time without a message to a peer after which it is sent a heartbeat.
-    interval_factor
-        Returns the factor that `interval` and `failure_timeout` are multiplied by.
+    is_close
+        Returns whether a peer gets heartbeats at `interval`. The others get them at
+        `distant_interval`, and only a failed ping replaces the connection to them.
+    distant_interval
+        Interval of the heartbeats to the other peers.
     """
 
     def __init__(
@@ -82,10 +92,12 @@
         time_since_heard: Callable[[str], timedelta],
         failure_timeout: timedelta,
         interval: timedelta = _HEARTBEAT_INTERVAL,
-        interval_factor: Callable[[], float] = lambda: 1.0,
+        is_close: Callable[[str], bool] = lambda name: True,
+        distant_interval: timedelta = _HEARTBEAT_INTERVAL,
     ) -> None:
-        self._interval_factor = interval_factor
         self._interval = interval
+        self._is_close = is_close
+        self._distant_interval = distant_interval
         self._own_id = own_id
         self._address = address
         self._clock = clock
@@ -94,6 +106,7 @@
         self._failure_timeout = failure_timeout
         self._context = Context()
         self._queues: dict[str, Queue] = {}
+        self._tasks: dict[str, Task] = {}
         self._group: TaskGroup | None = None
 
     @property
@@ -106,7 +119,22 @@
         if name in self._queues or self._group is None:
             return
         self._queues[name] = Queue()
-        await self._group.spawn(self._send_to_peer, name, address)
+        self._tasks[name] = await self._group.spawn(
+            run_restarting,
+            "peer_sender",
+            self._clock,
+            self._send_to_peer,
+            name,
+            address,
+            daemon=True,
+        )
+
+    async def remove(self, name: str) -> None:
+        """Stop sending to a peer and close the connection to it."""
+        task = self._tasks.pop(name, None)
+        if task is not None:
+            await task.cancel()
+            del self._queues[name]
 
     async def send(self, name: str, message: PeerMessage) -> bool:
         """Queue a message for a peer; return whether the peer is known."""
@@ -150,18 +178,23 @@
                     _log.warning("peer_message_malformed", reason=str(failure))
 
     async def _send_to_peer(self, name: str, address: Address) -> None:
+        while True:
+            socket = self._connect(address)
+            try:
+                await self._send_until_silent(socket, name)
+            finally:
+                socket.close(linger=0)
+
+    async def _send_until_silent(self, socket: Any, name: str) -> None:
+        """Send on one connection until it must be replaced."""
         queue = self._queues[name]
-        socket = self._connect(address)
         connected_at = self._clock.monotonic_time()
         while True:
-            interval_factor = self._interval_factor()
-            failure_timeout, interval = (
-                self._failure_timeout * interval_factor,
-                self._interval * interval_factor,
-            )
+            is_close = self._is_close(name)
+            interval = self._interval if is_close else self._distant_interval
             # Messages to a peer that is not connected yet are lost, so a peer that has
             # not been heard is sent heartbeats more often.
-            if self._time_since_heard(name) > failure_timeout:
+            if self._time_since_heard(name) > max(self._failure_timeout, 3 * interval):
                 interval = min(interval, _UNHEARD_PEER_INTERVAL)
             next_message = await self._clock.with_timeout(interval, queue.get())
             match next_message:
@@ -172,13 +205,17 @@
             for message in messages:
                 self._send_message(socket, name, message)
             connection_age = self._clock.monotonic_time() - connected_at
-            if min(self._time_since_heard(name), connection_age) > failure_timeout:
-                socket.close(linger=0)
-                socket = self._connect(address)
-                connected_at = self._clock.monotonic_time()
+            silence = min(self._time_since_heard(name), connection_age)
+            if is_close and silence > self._failure_timeout:
+                return
 
     def _connect(self, address: Address) -> Any:
         socket = self._context.socket(DEALER)
+        for option, duration in (
+            (HEARTBEAT_IVL, _PING_INTERVAL),
+            (HEARTBEAT_TIMEOUT, _PING_TIMEOUT),
+        ):
+            socket.setsockopt(option, duration // timedelta(milliseconds=1))
         socket.setsockopt(SNDHWM, _HIGH_WATER_MARK)
         socket.setsockopt(LINGER, 0)
         socket.setsockopt(
