Let all instances learn how many there are; a feature with 24 gateways

Cause: in the trials at small size subscribers answered "no replica can be reached": an instance learns of others only while all exchange messages, and the relays had stopped telling it, so most kept counting themselves as relays of a small fleet. Change: the number of instances travels with the gossip. Metrics show the role and the known instances. The platform's stand-in follows the address that a heartbeat's answer names.

--- a/features/steps/gateway_process_steps.py
+++ b/features/steps/gateway_process_steps.py
@@ -17,10 +17,15 @@
 _RECORD_BYTES = 16
 
 
-@given("3 gateways, 4 shards and a service")
-def start_fleet(context: Context) -> None:
+@given("{count:d} gateways, 4 shards and a service")
+def start_small_fleet(context: Context, count: int) -> None:
+    start_fleet(context, count, count)
+
+
+@given("{count:d} gateways, of which {disks:d} have a disk, 4 shards and a service")
+def start_fleet(context: Context, count: int, disks: int) -> None:
     fleet = context.fleet = PlatformFleet(context.folder)
-    fleet.start()
+    fleet.start(count, disks)
     fleet.start_replicas((*_SHARDS, _SERVICE))
     context.document = fleet.next_configuration(_SHARDS, (_SERVICE,), Version=7)
     fleet.wait_until(lambda: fleet.put_configuration(context.document).status == 200)
@@ -305,18 +310,18 @@
 @when("a replica announces to one gateway that it is draining")
 def drain(context: Context) -> None:
     fleet = context.fleet
-    name = f"{_SHARDS[0]}-1"
-    fleet.send_command(names=[name], state="draining")
-    statuses = fleet.send_command(names=[name], tell="heartbeat")["told"]
-    assert statuses == {name: 200}, statuses
-    context.arrived_before = len(_replica(fleet, name)["arrived"])
+    context.drained = f"{_SHARDS[0]}-1"
+    fleet.send_command(names=[context.drained], state="draining")
+    told = fleet.send_command(names=[context.drained], tell="heartbeat")["told"]
+    assert told == {context.drained: 200}, told
+    context.arrived_before = len(_replica(fleet, context.drained)["arrived"])
     for number in range(60):
         _query(fleet, number % 3, f"drain-{number}")
 
 
 @then("it receives no more requests through any gateway")
 def check_drained(context: Context) -> None:
-    arrived = _replica(context.fleet, f"{_SHARDS[0]}-1")["arrived"]
+    arrived = _replica(context.fleet, context.drained)["arrived"]
     assert len(arrived) == context.arrived_before, arrived[context.arrived_before :]
 
 
--- a/src/lovagetray/_telemetry.py
+++ b/src/lovagetray/_telemetry.py
@@ -154,6 +154,15 @@
     "lovagetray_routing_version",
     "Version of the routing document in force at this instance",
 )
+DIRECTORY_RELAY = Gauge(
+    "lovagetray_directory_relay",
+    "1 if this instance relays the directory to others, 0 if it subscribes to a relay",
+)
+KNOWN_INSTANCES = Gauge(
+    "lovagetray_known_instances",
+    "Instances that this one knows, by whether they are live",
+    ["state"],
+)
 REPLICA_CHANNELS = Gauge(
     "lovagetray_replica_channels",
     "Connections to replicas that are open",
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -50,6 +50,8 @@
 from lovagetray._telemetry import (
     AGREEMENT_LEADS,
     AGREEMENT_TERM,
+    DIRECTORY_RELAY,
+    KNOWN_INSTANCES,
     REPLICA_CHANNELS,
     ROUTING_VERSION,
 )
@@ -291,6 +293,10 @@
     def metrics(self) -> bytes:
         """Return the metrics in the text format of Prometheus."""
         ROUTING_VERSION.set(self._routing.version)
+        DIRECTORY_RELAY.set(self._instances.relays.is_relay)
+        live = len(self._members.live(self._clock.monotonic_time()))
+        KNOWN_INSTANCES.labels("live").set(live)
+        KNOWN_INSTANCES.labels("silent").set(self._instances.count() - live)
         REPLICA_CHANNELS.set(self._connection_pool.open_count)
         AGREEMENT_TERM.set(self._agreement.term)
         AGREEMENT_LEADS.set(self._agreement.leader == self._settings.name)
--- a/src/lovagetray/gateway/_instances.py
+++ b/src/lovagetray/gateway/_instances.py
@@ -150,7 +150,7 @@
             case Heartbeat(record=record):
                 await self._receive_record(record, now)
             case KnownInstances(records=records, total=total):
-                self._fleet_size = max(self._fleet_size, total)
+                self._fleet_size = max(self._fleet_size, total, len(records))
                 self._update_relays()
                 for record in records:
                     await self._meet(record.instance.name, record.peer_address)
@@ -169,15 +169,15 @@
             await self._clock.sleep(_TOPOLOGY_INTERVAL)
 
     async def gossip(self) -> None:
-        """Send the known instances to a random relay each second, until cancelled.
+        """Send the known instances to a random peer each second, until cancelled.
 
-        Instances that all exchange messages learn of each other so. A larger number of
-        them learn of each other from the relays.
+        Instances that all exchange messages learn of each other so. Of a larger number
+        of them, each learns so that there are too many for that.
         """
         while True:
             await self._clock.sleep(_GOSSIP_INTERVAL)
             names = self.peers.names
-            if names and self._is_mesh():
+            if names:
                 await self.peers.send(
                     self._random.choice(names), self._known_instances()
                 )
@@ -251,7 +251,8 @@
 
     def _known_instances(self) -> KnownInstances:
         records = [known.record for known in self._known()] if self._is_mesh() else []
-        return KnownInstances(tuple(records), self.count())
+        total = max(self.count(), self._fleet_size)
+        return KnownInstances(tuple(records), total)
 
     def _time_since_heard(self, name: str) -> timedelta:
         return self.members.time_since_heard(name, self._clock.monotonic_time())
--- a/tools/platform_stand_in/replicas.py
+++ b/tools/platform_stand_in/replicas.py
@@ -63,6 +63,8 @@
         self.cancelled = 0
         self.connections = 0
         self._random = Random(name)
+        # Control address for the next notice, if a gateway has named one.
+        self._notice_address: str | None = None
 
     async def listen(self) -> None:
         """Start to accept connections on a free port."""
@@ -72,14 +74,18 @@
     async def send_notices_forever(self, control_addresses: list[str]) -> None:
         """Send heartbeats until cancelled.
 
-        Each heartbeat is sent to the gateways in random order until one accepts it.
+        Each heartbeat is sent to the address that the last response named or, if that
+        fails, to the gateways in random order until one accepts it.
         """
         while True:
-            for address in self._random.sample(
+            in_random_order = self._random.sample(
                 control_addresses, len(control_addresses)
-            ):
+            )
+            named = [] if self._notice_address is None else [self._notice_address]
+            for address in named + in_random_order:
                 if await self.send_notice(address, "heartbeat") == 200:
                     break
+                self._notice_address = None
             await asyncio.sleep(_HEARTBEAT_INTERVAL_SECONDS)
 
     async def send_notice(self, address: str, action: str) -> int:
@@ -111,9 +117,11 @@
                 "born": self.born,
             }
         )
-        return await send_request(
-            address, "POST", f"/-/instances/{self.name}/{action}", body
-        )
+        path = f"/-/instances/{self.name}/{action}"
+        status, answer = await send_request(address, "POST", path, body)
+        if status == 200 and action == "heartbeat":
+            self._notice_address = loads(answer).get("HeartbeatAddr")
+        return status
 
     async def _serve(self, reader: Any, writer: Any) -> None:
         self.connections += 1
@@ -207,8 +215,10 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-async def send_request(address: str, method: str, path: str, body: str = "") -> int:
-    """Send a request; return its HTTP status, or 0 if there is no response."""
+async def send_request(
+    address: str, method: str, path: str, body: str = ""
+) -> tuple[int, bytes]:
+    """Send a request; return status and body, or 0 if there is no response."""
     host, _, port = address.rpartition(":")
     try:
         reader, writer = await asyncio.wait_for(
@@ -216,11 +226,12 @@
         )
         head = f"{method} {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n"
         writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n{body}".encode())
-        status_line = await asyncio.wait_for(reader.readline(), 1)
+        response = await asyncio.wait_for(reader.read(), 1)
         writer.close()
-        return int(status_line.split()[1])
+        head, _, answer = response.partition(b"\r\n\r\n")
+        return int(head.split()[1]), answer
     except (OSError, asyncio.TimeoutError, IndexError, ValueError):
-        return 0
+        return 0, b""
 
 
 async def _serve_commands(
@@ -229,7 +240,8 @@
     """Run the JSON commands from standard input, one a line, until it ends.
 
     A command changes the replicas under ``names``, or all replicas, and may let them
-    send a notice. The answer to each is one line with their statistics.
+    send a notice, to the first gateway or to the control address under ``to``. The
+    answer to each is one line with their statistics.
     """
     loop = asyncio.get_running_loop()
     while line := await loop.run_in_executor(None, stdin.readline):
