--- a/features/steps/relay_process_steps.py
+++ b/features/steps/relay_process_steps.py
@@ -58,7 +58,8 @@
 
 
 @when(
-    "a relay is killed and a replica announces to gateway {number:d} that it is draining"
+    "a relay is killed and a replica announces to gateway {number:d} "
+    "that it is draining"
 )
 def kill_relay_and_drain(context: Context, number: int) -> None:
     relay = next(number for number in _running(context) if _is_relay(context, number))
