Keep the directory of replicas on the disks of relays

A late notice could also have brought back a replica that had left. Change: relays with a disk save the directory after changes and every 10 s, and restore it before they serve. A ready replica is then used for three intervals without a notice; one that has left stays out. A file that is damaged, old or cannot be written costs nothing but that.

--- a/features/fakes/replica_script.py
+++ b/features/fakes/replica_script.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from random import Random
+from re import fullmatch
 from typing import Any, NamedTuple
 
 from curio import spawn
@@ -165,6 +166,20 @@
     )
 
 
+def parse_notice(text: str) -> ReplicaNotice:
+    """Return the notice that a text such as "r1 ready born 10 sequence 5" describes."""
+    match = fullmatch(r"(\w+) (\w+) born (\d+) sequence (\d+)(?: port (\d+))?", text)
+    assert match is not None, text
+    replica, state, born, sequence, port = match.groups()
+    return make_notice(
+        replica,
+        state=ReplicaState(state),
+        born=int(born),
+        sequence=int(sequence),
+        port=int(port) if port else None,
+    )
+
+
 def make_caller_request(
     time_left: timedelta | None = timedelta(seconds=2), body: bytes = b""
 ) -> CallerRequest:
--- a/features/steps/replica_directory_steps.py
+++ b/features/steps/replica_directory_steps.py
@@ -1,18 +1,12 @@
 """Steps for the directory of replicas and their notices."""
 
 from datetime import timedelta
-from re import fullmatch
 
 from behave import given, then, when
 from behave.runner import Context
-from fakes.replica_script import make_notice
-
-from lovagetray._routing_types import (
-    NoticeVersion,
-    ReplicaNotice,
-    ReplicaRun,
-    ReplicaState,
-)
+from fakes.replica_script import parse_notice
+
+from lovagetray._routing_types import NoticeVersion, ReplicaRun
 from lovagetray.state import ReplicaDirectory
 
 _LIFETIME = timedelta(seconds=7)
@@ -23,13 +17,13 @@
 def store_notice(context: Context, first: str) -> None:
     context.now = timedelta(seconds=100)
     context.directory = ReplicaDirectory(_LIFETIME, _RETENTION)
-    context.directory.accept(_parse(first), context.now)
+    context.directory.accept(parse_notice(first), context.now)
 
 
 @given('the notices "{first}" and "{second}"')
 def store_notices(context: Context, first: str, second: str) -> None:
     store_notice(context, first)
-    context.directory.accept(_parse(second), context.now)
+    context.directory.accept(parse_notice(second), context.now)
 
 
 @given("{replica} has left")
@@ -39,7 +33,7 @@
 
 @when('"{text}" arrives')
 def receive_notice(context: Context, text: str) -> None:
-    context.directory.accept(_parse(text), context.now)
+    context.directory.accept(parse_notice(text), context.now)
 
 
 @when("{replica} states in a response of the run born {born:d} that it is leaving")
@@ -56,7 +50,7 @@
 @when('another instance reports that "{text}" was repeated')
 def receive_repeated(context: Context, text: str) -> None:
     sender_directory = ReplicaDirectory(_LIFETIME, _RETENTION)
-    stored = _parse(text)
+    stored = parse_notice(text)
     sender_directory.accept(stored, context.now)
     repeated = sender_directory.repeated_notice(stored.replica)
     assert repeated is not None
@@ -67,7 +61,7 @@
 def compare_directories(context: Context, first: str, second: str) -> None:
     versions = [
         NoticeVersion(stored.replica, stored.order)
-        for stored in map(_parse, (first, second))
+        for stored in map(parse_notice, (first, second))
     ]
     context.newer = [
         known.notice.replica for known in context.directory.newer_than(versions)
@@ -101,16 +95,3 @@
 
 def _usable(context: Context) -> list[str]:
     return [usable.replica for usable in context.directory.usable("s")]
-
-
-def _parse(text: str) -> ReplicaNotice:
-    match = fullmatch(r"(\w+) (\w+) born (\d+) sequence (\d+)(?: port (\d+))?", text)
-    assert match is not None, text
-    replica, state, born, sequence, port = match.groups()
-    return make_notice(
-        replica,
-        state=ReplicaState(state),
-        born=int(born),
-        sequence=int(sequence),
-        port=int(port) if port else None,
-    )
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -57,7 +57,13 @@
 )
 from lovagetray._types import Address
 from lovagetray._violations import Violations
-from lovagetray.commands.discovery import FeedPublisher, ReplicaGossip, Subscription
+from lovagetray.commands.agreement import FolderDisk
+from lovagetray.commands.discovery import (
+    DirectoryStore,
+    FeedPublisher,
+    ReplicaGossip,
+    Subscription,
+)
 from lovagetray.commands.routing import put_document
 from lovagetray.gateway._dispatcher import Dispatcher
 from lovagetray.gateway._instances import Instances, RelayTransport
@@ -92,6 +98,8 @@
 # late by seconds, and repeated ones may be relayed as rarely as every 5 s. The failure
 # of a replica is detected sooner, by the connections to it.
 _MAX_MISSED_NOTICES = 10
+# A replica known from the disk is used without a notice for this many intervals.
+_CONFIRMING_NOTICES = 3
 _REPLICA_RETENTION = timedelta(minutes=2)
 # An instance with a disk serves its stored document if no leader is found by then.
 _CATCH_UP_TIMEOUT = timedelta(seconds=10)
@@ -334,6 +342,9 @@
             _log.critical("gateway_failed", reason=str(LogStopped(str(error))))
             return _EXIT_LOG_STOPPED
         self._instances.attach(self._agreement, self._replica_gossip)
+        store = self._directory_store()
+        if store is not None:
+            await store.load()
         _log.info(
             "gateway_started",
             instance=self._settings.name,
@@ -382,6 +393,8 @@
                 "feed_publisher": (self._feed_publisher.run, ()),
                 "subscription": (self._subscription.run, ()),
             }
+            if store is not None:
+                endless["directory_store"] = store.run, ()
             for name, (work, arguments) in endless.items():
                 await group.spawn(run_restarting, name, self._clock, work, *arguments)
             for server in control_servers:
@@ -398,6 +411,20 @@
                         await self._stop(frontend)
                         return 0
 
+    def _directory_store(self) -> DirectoryStore | None:
+        """Return the directory's file, or None without a disk."""
+        folder = self._settings.data_folder
+        if folder is None:
+            return None
+        # Beside the folder of the log, which is set aside if the log is damaged.
+        return DirectoryStore(
+            FolderDisk(folder.parent / "directory"),
+            self._directory,
+            self._instances.relays,
+            self._clock,
+            self._settings.notice_interval * _CONFIRMING_NOTICES,
+        )
+
     def _startup_milliseconds(self) -> float | None:
         """Return the time since the process started, in milliseconds, if known."""
         if self._process_started_at is None:
--- a/src/lovagetray/queries/load_balancing/_choose.py
+++ b/src/lovagetray/queries/load_balancing/_choose.py
@@ -82,9 +82,11 @@
             continue
         cost = replica_cost(notice, stats, hedge_delay, data_centre, now)
         cost *= 1 + _COST_NOISE * random.random()
-        cost += _AVAILABILITY_PENALTY[availability_of(notice, now)]
+        # The availability only adds to the cost, so it is not needed for a higher one.
         if best is None or cost < best_cost:
-            best, best_cost = notice, cost
+            cost += _AVAILABILITY_PENALTY[availability_of(notice, now)]
+            if best is None or cost < best_cost:
+                best, best_cost = notice, cost
     return best
 
 
--- a/src/lovagetray/queries/load_balancing/_stats.py
+++ b/src/lovagetray/queries/load_balancing/_stats.py
@@ -87,7 +87,10 @@
         relative_latency = 1 + (self.relative_latency - 1) * 0.5 ** (
             age / _LATENCY_HALF_LIFE
         )
-        return relative_latency, self.failure_rate * 0.5 ** (age / _FAILURE_HALF_LIFE)
+        failure_rate = self.failure_rate
+        if failure_rate:
+            failure_rate *= 0.5 ** (age / _FAILURE_HALF_LIFE)
+        return relative_latency, failure_rate
 
     def record_connect_failed(self, now: timedelta) -> None:
         """Record a failed connection attempt; start exponential backoff."""
--- a/src/lovagetray/state/__init__.py
+++ b/src/lovagetray/state/__init__.py
@@ -53,6 +53,8 @@
 from lovagetray.state._replica_directory import (
     KnownReplica,
     ReplicaDirectory,
+    StoredDirectory,
+    StoredReplica,
     is_repetition,
 )
 from lovagetray.state._routing import (
--- a/src/lovagetray/state/_replica_directory.py
+++ b/src/lovagetray/state/_replica_directory.py
@@ -1,7 +1,7 @@
 """Directory of the replicas that have sent notices."""
 
 from collections.abc import Iterable, Iterator
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import NamedTuple
 from zlib import crc32
 
@@ -45,6 +45,26 @@
         return ready and not self.leaving and not self.silent
 
 
+class StoredReplica(NamedTuple):
+    """A replica in the directory's file."""
+
+    notice: ReplicaNotice
+    leaving: bool
+
+
+class StoredDirectory(NamedTuple):
+    """Content of the directory's file.
+
+    Parameters
+    ----------
+    saved_at
+        Wall-clock time in UTC.
+    """
+
+    saved_at: datetime
+    replicas: tuple[StoredReplica, ...]
+
+
 class ReplicaDirectory:
     """The replicas that have sent notices; only the discovery commands change them.
 
@@ -192,6 +212,22 @@
         leaving = leaving or stored.leaving
         self._put(stored._replace(leaving=leaving, silent=silent))
 
+    def restore(
+        self, stored: StoredReplica, now: timedelta, confirmation_time: timedelta
+    ) -> None:
+        """Store a replica from the directory's file.
+
+        A ready one falls silent after `confirmation_time` without a notice. One that
+        has left is kept, so that a late notice cannot bring it back.
+        """
+        heard_at = now
+        if stored.notice.state is not ReplicaState.LEFT:
+            heard_at = now - self._lifetime + confirmation_time
+        self._store(stored.notice, heard_at)
+        if stored.leaving:
+            known = self._replicas[stored.notice.replica]
+            self._put(known._replace(leaving=True))
+
     def mark_leaving(self, run: ReplicaRun) -> bool:
         """Stop using a run of a replica that stated in a response that it is leaving.
 
--- a/src/lovagetray/targets/_connection_pool.py
+++ b/src/lovagetray/targets/_connection_pool.py
@@ -245,9 +245,11 @@
 
     async def _open(self, replica: ReplicaChannels, first: Exchange | None) -> None:
         def on_idle(channel: Channel) -> Exchange | None:
-            queued = replica.next_queued(
-                self._clock.monotonic_time(), self._accepts(replica.notice)
-            )
+            queued = None
+            if replica.queued:
+                queued = replica.next_queued(
+                    self._clock.monotonic_time(), self._accepts(replica.notice)
+                )
             if queued is None:
                 replica.idle.append(channel)
             return queued
--- a/src/lovagetray/wire/_log_codec.py
+++ b/src/lovagetray/wire/_log_codec.py
@@ -44,27 +44,27 @@
 
 def encode_entries(entries: Iterable[Entry]) -> bytes:
     """Return one record that contains `entries`."""
-    return _encode_record(encode(tuple(entries)))
+    return encode_record(encode(tuple(entries)))
 
 
 def encode_vote(vote: VoteRecord) -> bytes:
     """Return the content of the vote file."""
-    return _encode_record(encode(vote))
+    return encode_record(encode(vote))
 
 
 def encode_snapshot(snapshot: LogSnapshot) -> bytes:
     """Return the content of the snapshot file."""
-    return _encode_record(encode(snapshot))
+    return encode_record(encode(snapshot))
 
 
 def decode_vote(data: bytes) -> Result[VoteRecord, LogCorrupted]:
     """Return the vote in the content of a vote file."""
-    return _decode_single("vote", data, _vote_decoder)
+    return decode_single_record("vote", data, _vote_decoder)
 
 
 def decode_snapshot(data: bytes) -> Result[LogSnapshot, LogCorrupted]:
     """Return the snapshot in the content of a snapshot file."""
-    return _decode_single("snapshot", data, _snapshot_decoder)
+    return decode_single_record("snapshot", data, _snapshot_decoder)
 
 
 def decode_log(data: bytes) -> Result[LogContent, LogCorrupted]:
@@ -90,7 +90,8 @@
     return Ok(LogContent(tuple(entries), position))
 
 
-def _encode_record(payload: bytes) -> bytes:
+def encode_record(payload: bytes) -> bytes:
+    """Return a payload with the header of a record."""
     header = _HEADER.pack(_MAGIC, len(payload), xxh64_intdigest(payload))
     return header + _HEADER_CHECKSUM.pack(xxh32_intdigest(header)) + payload
 
@@ -125,9 +126,10 @@
     return False
 
 
-def _decode_single(
+def decode_single_record(
     file_name: str, data: bytes, decoder: Decoder[T]
 ) -> Result[T, LogCorrupted]:
+    """Return the decoded payload of a file that holds one record."""
     payload = _payload_at(data, 0)
     if payload is None:
         return Error(LogCorrupted(file_name, 0))
