--- a/features/steps/gateway_process_steps.py
+++ b/features/steps/gateway_process_steps.py
@@ -25,6 +25,7 @@
 @given("{count:d} gateways, of which {disks:d} have a disk, 4 shards and a service")
 def start_fleet(context: Context, count: int, disks: int) -> None:
     fleet = context.fleet = PlatformFleet(context.folder)
+    fleet.sources = getattr(context, "sources_of_gateways", None)
     fleet.start(count, disks)
     fleet.start_replicas((*_SHARDS, _SERVICE))
     context.document = fleet.next_configuration(_SHARDS, (_SERVICE,), Version=7)
--- a/tools/platform_stand_in/fleet.py
+++ b/tools/platform_stand_in/fleet.py
@@ -69,6 +69,9 @@
         self.gateways: list[GatewayProcess] = []
         self._replicas: Popen[str] | None = None
         self._configuration_version = 0
+        # Folder of the sources that gateways start with from now on; by default those
+        # of this program.
+        self.sources: Path | None = None
         folder.mkdir(parents=True, exist_ok=True)
 
     def stop(self) -> None:
@@ -141,11 +144,14 @@
         path = self._folder / f"{name}.toml"
         path.write_text("\n".join(lines) + "\n")
         log = (self._folder / f"{name}.log").open("ab")
+        environment = dict(environ, LOVAGETRAY_SETTINGS=str(path))
+        if self.sources is not None:
+            environment["PYTHONPATH"] = str(self.sources)
         process = Popen(
             [executable, "-m", "lovagetray.platform"],
             stdout=log,
             stderr=log,
-            env=dict(environ, LOVAGETRAY_SETTINGS=str(path)),
+            env=environment,
         )
         gateway = GatewayProcess(
             name, front_port, ready_port, control_port, directory_port, path, process
