Split the parsing of responses from channels, and discovery from the gateway

targets/_response_parser.py holds the limits and the state of a response; gateway/_discovery.py assembles notices, feed and file of the directory. No behaviour changes.

--- a/src/lovagetray/commands/discovery/__init__.py
+++ b/src/lovagetray/commands/discovery/__init__.py
@@ -5,5 +5,6 @@
 from lovagetray.commands.discovery._replica_gossip import (
     NoticeTransport,
     ReplicaGossip,
+    ReplicaGossipMessage,
 )
 from lovagetray.commands.discovery._subscription import Subscription
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from random import Random, SystemRandom
 from signal import SIGHUP, SIGINT, SIGTERM, Signals
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from curio import CurioError, Queue, TaskGroup
 from expression import Result
@@ -57,16 +57,10 @@
 )
 from lovagetray._types import Address
 from lovagetray._violations import Violations
-from lovagetray.commands.agreement import FolderDisk
-from lovagetray.commands.discovery import (
-    DirectoryStore,
-    FeedPublisher,
-    ReplicaGossip,
-    Subscription,
-)
 from lovagetray.commands.routing import put_document
+from lovagetray.gateway._discovery import Discovery
 from lovagetray.gateway._dispatcher import Dispatcher
-from lovagetray.gateway._instances import Instances, RelayTransport
+from lovagetray.gateway._instances import Instances
 from lovagetray.gateway._listing import Listing
 from lovagetray.gateway._replica_connections import ReplicaConnections
 from lovagetray.gateway._replicated_log import open_gateway_log
@@ -84,7 +78,6 @@
     DocumentDecoder,
     InstanceState,
     Ledger,
-    ReplicaDirectory,
     RoutingState,
     SettingsState,
 )
@@ -94,13 +87,6 @@
 # Exit code of a gateway that can no longer take part in the replicated log: it could
 # not be opened or has stopped.
 _EXIT_LOG_STOPPED = 1
-# A replica expires after this many notice intervals without a notice. Notices may be
-# late by seconds, and repeated ones may be relayed as rarely as every 5 s. The failure
-# of a replica is detected sooner, by the connections to it.
-_MAX_MISSED_NOTICES = 10
-# A replica known from the disk is used without a notice for this many intervals.
-_CONFIRMING_NOTICES = 3
-_REPLICA_RETENTION = timedelta(minutes=2)
 # An instance with a disk serves its stored document if no leader is found by then.
 _CATCH_UP_TIMEOUT = timedelta(seconds=10)
 # Requests are accepted until this long before the kill, so that those in flight can
@@ -178,31 +164,20 @@
         random = Random(SystemRandom().getrandbits(64))
         self._violations = Violations()
         self._routing = RoutingState(formats.decode_document)
-        self._directory = ReplicaDirectory(
-            settings.notice_interval * _MAX_MISSED_NOTICES, _REPLICA_RETENTION
-        )
         self._instances = Instances(settings, clock, random)
         self._members = self._instances.members
         self._peers = self._instances.peers
-        relays = self._instances.relays
-        transport = RelayTransport(self._peers, relays)
-        self._replica_gossip = ReplicaGossip(
-            self._directory, self._members, relays, transport, clock, random
-        )
-        self._feed_publisher = FeedPublisher(
-            self._members.own_record.instance.incarnation,
-            self._members,
-            self._directory,
-            relays,
-            transport,
+        self._discovery = Discovery(
+            settings,
+            self._instances,
             clock,
+            random,
             lambda: self._agreement.quorum_contact_age(),
         )
-        self._subscription = Subscription(
-            self._members, self._directory, relays, transport, clock
-        )
+        self._replica_gossip = self._discovery.gossip
+        directory = self._discovery.directory
         limits = settings.retry_budget
-        self._listing = Listing(self._members, self._directory, clock)
+        self._listing = Listing(self._members, directory, clock)
         budget = RetryBudget(
             limits.ratio,
             limits.fixed,
@@ -211,12 +186,12 @@
             self._listing.budget_sharers,
         )
         self._balancer = LoadBalancer(
-            self._directory, budget, clock, random, settings.data_centre
+            directory, budget, clock, random, settings.data_centre
         )
         self._connections = ReplicaConnections(
             settings,
             self._routing,
-            self._directory,
+            directory,
             self._balancer,
             clock,
             self._listing.connection_sharers,
@@ -342,9 +317,7 @@
             _log.critical("gateway_failed", reason=str(LogStopped(str(error))))
             return _EXIT_LOG_STOPPED
         self._instances.attach(self._agreement, self._replica_gossip)
-        store = self._directory_store()
-        if store is not None:
-            await store.load()
+        await self._discovery.load()
         _log.info(
             "gateway_started",
             instance=self._settings.name,
@@ -377,26 +350,8 @@
             events = Queue()
             await group.spawn(self._run_agreement, events)
             await group.spawn(_receive_signals, signals, events)
-            endless: dict[str, tuple[Callable[..., Awaitable[None]], tuple[Any, ...]]]
-            endless = {
-                "replica_gossip": (self._replica_gossip.run, ()),
-                "connection_pool": (
-                    connection_pool.run,
-                    (self._connections.has_ended,),
-                ),
-                "keep_warm": (
-                    self._connections.keep_warm,
-                    (connection_pool, lambda: self.ready and self._listing.is_listed),
-                ),
-                "instance_gossip": (self._instances.gossip, ()),
-                "topology": (self._instances.follow_topology, ()),
-                "feed_publisher": (self._feed_publisher.run, ()),
-                "subscription": (self._subscription.run, ()),
-            }
-            if store is not None:
-                endless["directory_store"] = store.run, ()
-            for name, (work, arguments) in endless.items():
-                await group.spawn(run_restarting, name, self._clock, work, *arguments)
+            for name, work in self._tasks(connection_pool).items():
+                await group.spawn(run_restarting, name, self._clock, work)
             for server in control_servers:
                 await group.spawn(server.run)
             await group.spawn(self._start_serving, frontend.run)
@@ -411,19 +366,19 @@
                         await self._stop(frontend)
                         return 0
 
-    def _directory_store(self) -> DirectoryStore | None:
-        """Return the directory's file, or None without a disk."""
-        folder = self._settings.data_folder
-        if folder is None:
-            return None
-        # Beside the folder of the log, which is set aside if the log is damaged.
-        return DirectoryStore(
-            FolderDisk(folder.parent / "directory"),
-            self._directory,
-            self._instances.relays,
-            self._clock,
-            self._settings.notice_interval * _CONFIRMING_NOTICES,
-        )
+    def _tasks(
+        self, connection_pool: ConnectionPool
+    ) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return the tasks, by name, that run until the process ends."""
+        return {
+            "connection_pool": lambda: connection_pool.run(self._connections.has_ended),
+            "keep_warm": lambda: self._connections.keep_warm(
+                connection_pool, lambda: self.ready and self._listing.is_listed
+            ),
+            "instance_gossip": self._instances.gossip,
+            "topology": self._instances.follow_topology,
+            **self._discovery.tasks(),
+        }
 
     def _startup_milliseconds(self) -> float | None:
         """Return the time since the process started, in milliseconds, if known."""
@@ -509,13 +464,12 @@
                 await self._instances.receive(sender, message, now)
             case Subscribe() as message:
                 await self._instances.receive(sender, Heartbeat(message.record), now)
-                await self._feed_publisher.receive_subscription(message)
-            case FeedUpdate() as message:
-                await self._subscription.receive(sender, message)
+                await self._discovery.receive(sender, message)
             case message if isinstance(message, AgreementMessage):
                 await self._agreement.handle(sender, message)
             case (
-                ReplicaNotices()
+                FeedUpdate()
+                | ReplicaNotices()
                 | ReplicasHeard()
                 | ReplicasLeft()
                 | ReplicasLeaving()
@@ -523,7 +477,7 @@
                 | DirectoryChecksum()
                 | NoticeDigest() as message
             ):
-                await self._replica_gossip.receive(sender, message)
+                await self._discovery.receive(sender, message)
 
 
 async def _receive_signals(signals: SignalListener, events: Queue) -> None:
--- a/src/lovagetray/targets/_channel.py
+++ b/src/lovagetray/targets/_channel.py
@@ -1,13 +1,12 @@
 """A connection to a replica: carries one exchange at a time and is read by one task."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any, Protocol
 
 from curio import CancelledError
 from expression import Error, Ok, Result
-from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from lovagetray._clock import Clock
 from lovagetray._routing_types import ReplicaNotice, ReplicaReply
@@ -20,32 +19,27 @@
 )
 from lovagetray._task_failures import report_task_failure
 from lovagetray._types import Address
+from lovagetray.targets._response_parser import (
+    RECEIVE_BYTES,
+    BufferedBytes,
+    RawHeaders,
+    RawResponse,
+    ResponseParser,
+)
 from lovagetray.wire import connect
 
-_RECEIVE_BYTES = 65536
 # An unreachable address does not answer a connection attempt; a reachable one takes a
 # round trip and the replica's handshake, 10 ms in current deployments.
 _CONNECT_TIMEOUT = timedelta(milliseconds=400)
 # A replica at its connection limit resets a new connection at once. An at-most-once
 # request is sent only after this time, because a reset would leave its outcome unknown.
 _RESET_WAIT = timedelta(milliseconds=15)
-# Shard responses stay below 32 KiB in all deployments; a response above this limit
-# comes from a faulty replica.
-_MAX_REPLY_BYTES = 4 * 1024 * 1024
-# The parser keeps a head, trailer or chunk line until its end arrives, so the bytes
-# outside the body are limited as well.
-_MAX_HEAD_BYTES = 64 * 1024
-_MAX_HEADERS = 128
-_MAX_INFORMATIONAL_REPLIES = 8
-# Longer idle timeouts make no difference; a faulty replica may announce any number.
-_MAX_IDLE_TIMEOUT_SECONDS = 3600
 
 ChannelFailure = (
     ConnectFailed | ConnectionLost | WrongReply | ResponseTooLarge | NotSent
 )
 # A plain union instead of a `Result`: each outcome is matched by its class.
 Outcome = ReplicaReply | ChannelFailure
-RawHeaders = tuple[tuple[bytes, bytes], ...]
 ReplyDecoder = Callable[[int, RawHeaders, bytes], ReplicaReply]
 
 
@@ -90,53 +84,6 @@
     abandoned_at: timedelta | None = None
 
 
-@dataclass(slots=True)
-class _Reply:
-    """A response that is being received.
-
-    Parameters
-    ----------
-    size
-        Length of the received part of the body in bytes.
-    framed
-        Whether a header delimits the body; otherwise the end of the connection does.
-    """
-
-    status: int = 0
-    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
-    body: list[bytes] = field(default_factory=list)
-    size: int = 0
-    framed: bool = False
-    head_complete: bool = False
-
-
-class BufferedBytes:
-    """Count of the body bytes of incomplete responses on all connections.
-
-    Parameters
-    ----------
-    limit
-        Number of bytes above which connections that receive more are closed.
-    """
-
-    def __init__(self, limit: int) -> None:
-        self._limit = limit
-        self._held = 0
-
-    @property
-    def exhausted(self) -> bool:
-        """Whether the connections together hold more bytes than the limit."""
-        return self._held > self._limit
-
-    def hold(self, size: int) -> None:
-        """Count received bytes."""
-        self._held += size
-
-    def release(self, size: int) -> None:
-        """Subtract the bytes of a response that is complete or given up."""
-        self._held -= size
-
-
 class Channel:
     """A connection to one replica that carries one exchange at a time.
 
@@ -164,22 +111,15 @@
         decode: ReplyDecoder,
         on_idle: Callable[["Channel"], Exchange | None],
         on_closed: Callable[["Channel", bool], None],
-        buffered: "BufferedBytes",
+        buffered: BufferedBytes,
     ) -> None:
         self._clock = clock
         self._decode = decode
         self._on_idle = on_idle
         self._on_closed = on_closed
-        self._buffered = buffered
         self._socket: Any = None
         self._exchange: Exchange | None = None
-        self._reply = _Reply()
-        self._parser: Any = None
-        self._complete_replies: list[_Reply] = []
-        self._unparsed_bytes = 0
-        self._informational_replies = 0
-        self._reply_started = False
-        self._oversized = False
+        self._parser = ResponseParser(buffered)
         self._sending = False
         self._broken = False
         self._received_response = False
@@ -188,13 +128,17 @@
         self.notice = notice
         self.task: Any = None
         self.idle_since = clock.monotonic_time()
-        self.idle_timeout: timedelta | None = None
 
     @property
     def exchange(self) -> Exchange | None:
         """The exchange in flight, if any."""
         return self._exchange
 
+    @property
+    def idle_timeout(self) -> timedelta | None:
+        """Time without a request after which the replica closes the connection."""
+        return self._parser.idle_timeout
+
     @property
     def was_idle(self) -> bool:
         """Whether the connection was established and has carried no request."""
@@ -229,7 +173,7 @@
             await self._fail(self._end_failure())
         finally:
             self._broken = True
-            self._buffered.release(self._reply.size)
+            self._parser.release()
             self._on_closed(self, self._received_response)
 
     async def send(self, exchange: Exchange) -> None:
@@ -255,7 +199,6 @@
         match connected:
             case Result(tag="ok", ok=Result(tag="ok", ok=socket)):
                 self._socket = socket
-                self._new_reply()
             case _:
                 return False
         if first is None or not first.at_most_once:
@@ -276,7 +219,7 @@
     async def _read(self) -> None:
         while not self._broken:
             try:
-                data = await self._socket.recv(_RECEIVE_BYTES)
+                data = await self._socket.recv(RECEIVE_BYTES)
             except OSError:
                 data = None
             if not data:
@@ -285,36 +228,19 @@
             if self._exchange is None:
                 # No request is in flight: the bytes belong to no request.
                 return
-            self._feed(data)
+            if not self._parser.feed(data):
+                self._broken = True
             await self._deliver_replies()
         await self._fail(self._end_failure())
 
-    def _feed(self, data: bytes) -> None:
-        """Parse received bytes; mark the connection as broken beyond a limit."""
-        self._unparsed_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except (HttpParserError, HttpParserUpgrade):
-            self._broken = True
-        if (
-            self._unparsed_bytes > _MAX_HEAD_BYTES + _RECEIVE_BYTES
-            or len(self._reply.headers) > _MAX_HEADERS
-            or self._informational_replies > _MAX_INFORMATIONAL_REPLIES
-            or self._reply.size > _MAX_REPLY_BYTES
-            or self._buffered.exhausted
-        ):
-            self._broken = self._oversized = True
-
     async def _deliver_replies(self) -> None:
-        while self._complete_replies:
-            reply = self._complete_replies.pop(0)
+        while (response := self._parser.take_complete()) is not None:
             # Only one request is in flight: a further response belongs to no request.
-            self._broken = (
-                self._broken or bool(self._complete_replies) or self._reply_started
-            )
-            await self._accept_reply(reply)
+            if self._parser.has_more or not self._parser.keep_alive:
+                self._broken = True
+            await self._accept_reply(response)
 
-    async def _accept_reply(self, raw: _Reply) -> None:
+    async def _accept_reply(self, raw: RawResponse) -> None:
         """Match a complete response to the exchange in flight."""
         exchange = self._exchange
         if exchange is None:
@@ -328,7 +254,6 @@
         self._broken = self._broken or not reply.request_id
         self._exchange = None
         self._received_response = True
-        self._informational_replies = 0
         # If the request is not completely sent yet, the replica would read the rest of
         # it as the start of the next request.
         self._broken = self._broken or self._sending
@@ -341,11 +266,10 @@
 
     async def _handle_end(self, clean: bool) -> None:
         """Handle the end of the connection; `clean` if it ended without an error."""
-        reply = self._reply
         self._broken = True
-        if clean and reply.head_complete and not reply.framed and self._exchange:
-            # A response without a length is delimited by the end of its connection.
-            await self._accept_reply(reply)
+        response = self._parser.end_of_connection() if clean else None
+        if response is not None:
+            await self._accept_reply(response)
         await self._fail(self._end_failure())
 
     async def _fail(self, failure: ChannelFailure) -> None:
@@ -359,74 +283,13 @@
         exchange = self._exchange
         if exchange is not None and exchange.sent_at is None:
             return ConnectFailed(self.notice.replica)
-        if self._oversized:
+        if self._parser.oversized:
             return ResponseTooLarge(self.notice.replica)
         return ConnectionLost(self.notice.replica)
 
-    def _new_reply(self) -> None:
-        self._reply = _Reply()
-        self._parser = HttpResponseParser(self)
-
-    # Called by the parser.
-
-    def on_message_begin(self) -> None:
-        """Record that a response has begun."""
-        self._reply_started = True
-
-    def on_status(self, status: bytes) -> None:
-        """Store the status of a new response."""
-        self._reply.status = self._parser.get_status_code()
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header and evaluate those that concern framing and keep-alive."""
-        lowered = name.lower()
-        if lowered in (b"content-length", b"transfer-encoding"):
-            self._reply.framed = True
-        elif lowered == b"keep-alive":
-            self.idle_timeout = _keep_alive(value)
-        self._reply.headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Mark the head of the response as complete."""
-        self._reply.status = self._parser.get_status_code()
-        self._reply.head_complete = True
-        self._unparsed_bytes = 0
-
-    def on_body(self, body: bytes) -> None:
-        """Append a part of the body."""
-        self._reply.body.append(body)
-        self._reply.size += len(body)
-        self._buffered.hold(len(body))
-        self._unparsed_bytes = 0
-
-    def on_message_complete(self) -> None:
-        """Queue a complete response; informational ones (1xx) are discarded."""
-        self._reply_started = False
-        self._unparsed_bytes = 0
-        self._buffered.release(self._reply.size)
-        if 100 <= self._reply.status < 200:
-            self._informational_replies += 1
-        else:
-            if not self._parser.should_keep_alive():
-                self._broken = True
-            self._complete_replies.append(self._reply)
-        self._reply = _Reply()
-
 
 async def _open(address: Address) -> Result[Any, OSError]:
     try:
         return Ok(await connect(address))
     except OSError as error:
         return Error(error)
-
-
-def _keep_alive(value: bytes) -> timedelta | None:
-    """Return the idle timeout in a `Keep-Alive` header, or None."""
-    for part in value.split(b","):
-        name, _, number = part.strip().partition(b"=")
-        digits = number.strip()
-        if name.lower() == b"timeout" and digits.isdigit():
-            if len(digits) > len(str(_MAX_IDLE_TIMEOUT_SECONDS)):
-                return timedelta(seconds=_MAX_IDLE_TIMEOUT_SECONDS)
-            return timedelta(seconds=int(digits))
-    return None
--- a/src/lovagetray/targets/_connection_pool.py
+++ b/src/lovagetray/targets/_connection_pool.py
@@ -12,12 +12,8 @@
 from lovagetray._routing_types import ReplicaNotice
 from lovagetray._target_errors import NotSent
 from lovagetray._types import Address
-from lovagetray.targets._channel import (
-    BufferedBytes,
-    Channel,
-    Exchange,
-    ReplyDecoder,
-)
+from lovagetray.targets._channel import Channel, Exchange, ReplyDecoder
+from lovagetray.targets._response_parser import BufferedBytes
 
 # Exchanges queued for a connection to one replica; more could not finish in time.
 _MAX_QUEUED_EXCHANGES = 20
