--- /dev/null
+++ b/features/steps/fault_soak_steps.py
@@ -0,0 +1,66 @@
+"""Steps for the fault soak and its checks."""
+
+from behave import then, when
+from behave.runner import Context
+from soak.promises import Answer, ConfigRead, Promises
+from soak.run import SoakRun
+
+_LOW, _HIGH = b"a" * 16, b"b" * 16
+# The requests that two replicas ran, in order.
+_ARRIVED = {"s1-0": [["q1"], ["q2"]], "s2-0": [["q1"]], "o-0": [["o1"], ["o2"]]}
+
+
+@when("the fault soak runs with seed {seed:d} for {seconds:d} seconds")
+def run_soak(context: Context, seed: int, seconds: int) -> None:
+    report = SoakRun(seed, seconds, context.folder / "soak").run()
+    context.problems = report.problems
+    assert report.counts["query 200"] > 0, report.counts
+
+
+@then("no promise is broken")
+def check_kept(context: Context) -> None:
+    assert not context.problems, context.problems
+
+
+@when("a caller sees {answer}")
+def see_answer(context: Context, answer: str) -> None:
+    promises = Promises(2)
+    arrived = dict(_ARRIVED)
+    # The same answer without the defect breaks no promise.
+    promises.record_answer(_query_answer("s1-0.1, s2-0.1"))
+    assert not promises.problems(arrived)
+    match answer:
+        case "a part that was sent for another request":
+            promises.record_answer(_query_answer("s1-0.2, s2-0.1", request_id="q2"))
+        case "two parts of one shard":
+            promises.record_answer(_query_answer("s1-0.1, s1-0.1"))
+        case "a part less than it states":
+            promises.record_answer(_query_answer("s1-0.1"))
+        case "its records in rising order":
+            promises.record_answer(_query_answer("s1-0.1, s2-0.1", _LOW + _HIGH))
+        case "a refusal of a request that ran":
+            promises.record_answer(Answer("o1", "once", 503, {}, b""))
+        case "an answer to a request that ran at 2 replicas":
+            arrived["o-1"] = [["o1"]]
+            headers = {"server-stamp": "o-0.1"}
+            promises.record_answer(Answer("o1", "once", 200, headers, b""))
+        case "a single answer that was sent for another":
+            headers = {"server-stamp": "o-0.1"}
+            promises.record_answer(Answer("o2", "once", 200, headers, b""))
+        case _:
+            promises.acknowledged.append(ConfigRead(10.0, 4))
+            promises.reads.append(ConfigRead(13.5, 3))
+    context.problems = promises.problems(arrived)
+
+
+@then('the soak reports "{problem}"')
+def check_reported(context: Context, problem: str) -> None:
+    assert len(context.problems) == 1, context.problems
+    assert problem in context.problems[0], context.problems
+
+
+def _query_answer(
+    stamps: str, body: bytes = _HIGH + _LOW, request_id: str = "q1"
+) -> Answer:
+    headers = {"part-stamps": stamps, "missing-parts": "0"}
+    return Answer(request_id, "query", 200, headers, body)
--- a/tools/platform_stand_in/replicas.py
+++ b/tools/platform_stand_in/replicas.py
@@ -57,6 +57,8 @@
         # Start time in Unix milliseconds; orders the runs under one name.
         self.born = int(time() * 1000)
         self.port = 0
+        # Port of a proxy before the replica, if there is one.
+        self.announced_port: int | None = None
         self.in_flight = 0
         # Request id, request line, body size and Deadline header of each request.
         self.received_requests: list[list[Any]] = []
@@ -107,7 +109,7 @@
         body = dumps(
             {
                 "Service": self.service,
-                "Address": f"127.0.0.1:{self.port}",
+                "Address": f"127.0.0.1:{self.announced_port or self.port}",
                 "Zone": self.zone,
                 "Version": "v1",
                 "Slots": 5,
@@ -259,6 +261,8 @@
                 )
             if "state" in command:
                 replica.state = command["state"]
+            if "announced_port" in command:
+                replica.announced_port = command["announced_port"]
         statuses = {}
         if "tell" in command:
             for replica in chosen:
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real gateway processes under random faults from outside."""
--- /dev/null
+++ b/tools/soak/promises.py
@@ -0,0 +1,136 @@
+"""The promises that a fault soak checks, from what callers and replicas saw."""
+
+from threading import Lock
+from typing import Any, NamedTuple
+
+_RECORD_BYTES = 16
+# A version is in force everywhere this long after its acknowledgement.
+_CONFIG_APPLY_SECONDS = 3.0
+_NOT_RUN_STATUSES = (408, 421, 429, 503)
+
+
+class Answer(NamedTuple):
+    """A caller's request and what it got; status 0 stands for no response."""
+
+    request_id: str
+    kind: str
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class ConfigRead(NamedTuple):
+    """A read of the configuration: when it was sent, and the version that came."""
+
+    sent_at: float
+    version: int
+
+
+class Promises:
+    """Records of a run, and the check of the promises against them.
+
+    Parameters
+    ----------
+    shards
+        Number of shards of a query.
+    """
+
+    def __init__(self, shards: int) -> None:
+        self._shards = shards
+        self._lock = Lock()
+        self.answers: list[Answer] = []
+        self.reads: list[ConfigRead] = []
+        self.acknowledged: list[ConfigRead] = []
+
+    def record_answer(self, answer: Answer) -> None:
+        """Record a caller's answer; called from the threads of callers."""
+        with self._lock:
+            self.answers.append(answer)
+
+    def problems(self, arrived: dict[str, list[list[Any]]]) -> list[str]:
+        """Return the broken promises.
+
+        Parameters
+        ----------
+        arrived
+            The requests that each replica ran, in order.
+        """
+        runs: dict[str, list[str]] = {}
+        for replica, requests in arrived.items():
+            for request in requests:
+                runs.setdefault(request[0], []).append(replica)
+        found: list[str] = []
+        for answer in self.answers:
+            if answer.kind == "query":
+                found += self._query_problems(answer, arrived)
+            else:
+                found += self._once_problems(answer, runs, arrived)
+        return found + self._config_problems()
+
+    def _query_problems(
+        self, answer: Answer, arrived: dict[str, list[list[Any]]]
+    ) -> list[str]:
+        if answer.status != 200:
+            return []
+        stamps = [stamp.strip() for stamp in answer.headers["part-stamps"].split(",")]
+        missing = int(answer.headers.get("missing-parts", "0"))
+        records = [
+            answer.body[start : start + _RECORD_BYTES]
+            for start in range(0, len(answer.body), _RECORD_BYTES)
+        ]
+        checks = {
+            "a part of another request": all(
+                _stamp_belongs(stamp, answer.request_id, arrived) for stamp in stamps
+            ),
+            "two parts of a shard": len({_service(stamp) for stamp in stamps})
+            == len(stamps),
+            "wrong coverage": len(stamps) + missing == self._shards,
+            "records out of order": records == sorted(records, reverse=True),
+        }
+        return [
+            f"{answer.request_id}: {text}" for text, kept in checks.items() if not kept
+        ]
+
+    def _once_problems(
+        self,
+        answer: Answer,
+        runs: dict[str, list[str]],
+        arrived: dict[str, list[list[Any]]],
+    ) -> list[str]:
+        ran_at = runs.get(answer.request_id, [])
+        found = []
+        if len(ran_at) > 1:
+            found.append(f"{answer.request_id}: ran at {ran_at}")
+        if answer.status in _NOT_RUN_STATUSES and ran_at:
+            found.append(f"{answer.request_id}: {answer.status} and ran at {ran_at}")
+        if answer.status == 200 and not _stamp_belongs(
+            answer.headers["server-stamp"], answer.request_id, arrived
+        ):
+            found.append(f"{answer.request_id}: the answer of another request")
+        return found
+
+    def _config_problems(self) -> list[str]:
+        found = []
+        for read in self.reads:
+            due = [
+                version
+                for acknowledged_at, version in self.acknowledged
+                if read.sent_at > acknowledged_at + _CONFIG_APPLY_SECONDS
+            ]
+            if due and read.version < max(due):
+                found.append(f"version {read.version} read after {max(due)} was due")
+        return found
+
+
+def _service(stamp: str) -> str:
+    return stamp.rsplit("-", 1)[0]
+
+
+def _stamp_belongs(
+    stamp: str, request_id: str, arrived: dict[str, list[list[Any]]]
+) -> bool:
+    """Return whether a replica issued a stamp for a request."""
+    replica, _, number = stamp.rpartition(".")
+    requests = arrived.get(replica, [])
+    # Several requests run at a time, so a stamp may carry a later number.
+    return any(request[0] == request_id for request in requests[: int(number)])
--- /dev/null
+++ b/tools/soak/run.py
@@ -0,0 +1,280 @@
+"""One run of the fault soak: a fleet, callers, and a seeded series of faults."""
+
+from collections import Counter
+from collections.abc import Callable
+from http.client import HTTPConnection, HTTPException
+from json import loads
+from pathlib import Path
+from random import Random
+from shutil import rmtree
+from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
+from threading import Event, Thread
+from time import monotonic, sleep
+from typing import NamedTuple
+
+from platform_stand_in.fleet import HOST, PlatformFleet
+from soak.link_proxy import LinkProxies, LinkState
+from soak.promises import Answer, ConfigRead, Promises
+
+_GATEWAYS = 5
+_DISKS = 3
+_SHARDS = ("shard-a", "shard-b", "shard-c", "shard-d")
+_SERVICE = "booking"
+_CALLERS = 4
+_LOST_FOR = (0.2, 2.0)
+# The platform kills a process this long after SIGTERM.
+_GRACE_SECONDS = 6.0
+_RECOVERY_SECONDS = 15.0
+_REPLICA_FAULTS = ("shed", "error", "reset", "silence", "extra", "unframed", "cut")
+_LINK_FAULTS = ("delay", "reset", "silent", "one_way")
+
+
+class SoakReport(NamedTuple):
+    """Broken promises of a run, and counts of what it did."""
+
+    problems: list[str]
+    counts: dict[str, int]
+
+
+class SoakRun:
+    """A run with one seed.
+
+    Parameters
+    ----------
+    folder
+        Settings, data and logs of the gateways.
+    """
+
+    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+        self._random = Random(seed)
+        self._seconds = seconds
+        self._folder = folder
+        self._fleet = PlatformFleet(folder)
+        self._promises = Promises(len(_SHARDS))
+        self._counts: Counter[str] = Counter()
+        self._ended = Event()
+        self._sent = 0
+
+    def run(self) -> SoakReport:
+        """Run and return the report; ends all processes that it started."""
+        fleet = self._fleet
+        try:
+            self._start()
+            threads = [Thread(target=self._call) for _ in range(_CALLERS)]
+            threads.append(Thread(target=self._read_configuration))
+            for thread in threads:
+                thread.start()
+            try:
+                self._inject_faults()
+                problems = self._recovery_problems()
+            finally:
+                self._ended.set()
+                for thread in threads:
+                    thread.join()
+            replicas = fleet.send_command()["replicas"]
+            arrived = {name: state["arrived"] for name, state in replicas.items()}
+            problems += self._promises.problems(arrived)
+            return SoakReport(problems + self._log_problems(), dict(self._counts))
+        finally:
+            fleet.stop()
+
+    def _start(self) -> None:
+        fleet = self._fleet
+        fleet.start(_GATEWAYS, _DISKS)
+        fleet.start_replicas((*_SHARDS, _SERVICE))
+        states = fleet.send_command()["replicas"]
+        self._links = LinkProxies(
+            {name: state["port"] for name, state in states.items()}
+        )
+        for name, port in self._links.ports.items():
+            fleet.send_command(names=[name], announced_port=port)
+        fleet.wait_until(self._put_configuration)
+        fleet.wait_serving(len(_SHARDS))
+
+    def _inject_faults(self) -> None:
+        """Inject faults one after the other; most last on while the next begin."""
+        faults: list[Callable[[], None]] = [
+            self._kill,
+            self._kill,
+            self._pause,
+            self._pause,
+            self._stop,
+            self._reload,
+            self._harm_replica,
+            self._harm_replica,
+            self._harm_link,
+            self._harm_link,
+            self._change_configuration,
+            self._lose_disk,
+            self._kill_all,
+        ]
+        running: list[Thread] = []
+        end = monotonic() + self._seconds
+        while monotonic() < end:
+            sleep(self._random.uniform(0.1, 1.0))
+            running = [thread for thread in running if thread.is_alive()]
+            # One process at a time is down, so that the fleet can go on.
+            is_free = not running
+            fault = self._random.choice(faults)
+            harmless = (
+                self._harm_replica,
+                self._harm_link,
+                self._reload,
+                self._change_configuration,
+            )
+            if not is_free and fault not in harmless:
+                continue
+            self._counts[fault.__name__.strip("_")] += 1
+            if fault in harmless:
+                fault()
+                continue
+            thread = Thread(target=fault)
+            thread.start()
+            running.append(thread)
+        for thread in running:
+            thread.join()
+
+    def _recovery_problems(self) -> list[str]:
+        """End all faults; return a problem if the fleet does not serve in time."""
+        for name in self._links.ports:
+            self._links.change(name, LinkState())
+        self._fleet.send_command(mode="ok")
+        try:
+            self._fleet.wait_serving(len(_SHARDS))
+        except AssertionError as error:
+            return [f"no complete answers after the last fault: {error}"]
+        return []
+
+    # Faults.
+
+    def _kill(self) -> None:
+        number = self._random.randrange(_GATEWAYS)
+        self._end_process(number, SIGKILL)
+        sleep(self._random.uniform(*_LOST_FOR))
+        self._restart(number)
+
+    def _kill_all(self) -> None:
+        for number in range(_GATEWAYS):
+            self._end_process(number, SIGKILL)
+        sleep(self._random.uniform(*_LOST_FOR))
+        for number in range(_GATEWAYS):
+            self._restart(number)
+        sleep(_LOST_FOR[1])
+
+    def _stop(self) -> None:
+        number = self._random.randrange(_GATEWAYS)
+        self._end_process(number, SIGTERM)
+        self._restart(number)
+
+    def _pause(self) -> None:
+        process = self._fleet.gateways[self._random.randrange(_GATEWAYS)].process
+        process.send_signal(SIGSTOP)
+        sleep(self._random.uniform(*_LOST_FOR))
+        process.send_signal(SIGCONT)
+
+    def _lose_disk(self) -> None:
+        number = self._random.randrange(_DISKS)
+        self._end_process(number, SIGKILL)
+        name = self._fleet.gateways[number].name
+        for folder in (self._folder / name).iterdir():
+            rmtree(folder)
+        self._restart(number)
+        # A second disk may be lost only once the first has caught up.
+        sleep(_GRACE_SECONDS)
+
+    def _reload(self) -> None:
+        process = self._fleet.gateways[self._random.randrange(_GATEWAYS)].process
+        if process.poll() is None:
+            process.send_signal(SIGHUP)
+
+    def _harm_replica(self) -> None:
+        name = self._random.choice(list(self._links.ports))
+        mode = self._random.choice((*_REPLICA_FAULTS, "ok", "ok"))
+        self._fleet.send_command(names=[name], mode=mode)
+
+    def _harm_link(self) -> None:
+        name = self._random.choice(list(self._links.ports))
+        mode = self._random.choice((*_LINK_FAULTS, "pass", "pass"))
+        delay = self._random.uniform(0.02, 0.5)
+        self._links.change(name, LinkState(mode, delay))
+
+    def _change_configuration(self) -> None:
+        self._put_configuration()
+
+    def _end_process(self, number: int, signal: int) -> None:
+        process = self._fleet.gateways[number].process
+        process.send_signal(signal)
+        process.wait(2 * _GRACE_SECONDS)
+        if signal == SIGTERM and process.returncode != 0:
+            self._counts["stops with an error"] += 1
+
+    def _restart(self, number: int) -> None:
+        self._fleet.start_gateway(number, number < _DISKS, first_start=False)
+
+    def _put_configuration(self) -> bool:
+        document = self._fleet.next_configuration(_SHARDS, (_SERVICE,))
+        number = self._random.randrange(_GATEWAYS)
+        if self._fleet.put_configuration(document, number).status != 200:
+            return False
+        self._promises.acknowledged.append(ConfigRead(monotonic(), document["Version"]))
+        return True
+
+    # Callers.
+
+    def _call(self) -> None:
+        """Send requests on kept connections until the run ends."""
+        random = Random(self._random.random())
+        connections: dict[int, HTTPConnection] = {}
+        while not self._ended.wait(0.005):
+            number = random.randrange(_GATEWAYS)
+            self._sent += 1
+            kind, path = random.choice(
+                (("query", "/all/q"), ("query", "/all/q"), ("once", f"/{_SERVICE}/x"))
+            )
+            request_id = f"{kind}-{self._sent}-{random.getrandbits(32):08x}"
+            connection = connections.pop(number, None) or HTTPConnection(
+                f"127.0.1.{number + 1}",
+                self._fleet.gateways[number].front_port,
+                timeout=4,
+            )
+            answer = _send(connection, kind, path, request_id)
+            self._promises.record_answer(answer)
+            self._counts[f"{kind} {answer.status}"] += 1
+            if answer.status and answer.headers.get("connection") != "close":
+                connections[number] = connection
+            else:
+                connection.close()
+
+    def _read_configuration(self) -> None:
+        random = Random(self._random.random())
+        while not self._ended.wait(0.05):
+            number = random.randrange(_GATEWAYS)
+            sent_at = monotonic()
+            control = self._fleet.gateways[number].control_port
+            answer = self._fleet.call(number, control, "GET", "/-/config/get")
+            if answer.status == 200:
+                version = loads(answer.body)["Version"]
+                self._promises.reads.append(ConfigRead(sent_at, version))
+
+    def _log_problems(self) -> list[str]:
+        """Return exceptions and violations in the logs of the gateways."""
+        return [
+            f"{log.name}: {line[:300]}"
+            for log in sorted(self._folder.glob("entry-*.log"))
+            for line in log.read_text(errors="replace").splitlines()
+            if "invariant_violated" in line
+            or "task_failed" in line
+            or line.startswith("Traceback")
+        ]
+
+
+def _send(connection: HTTPConnection, kind: str, path: str, request_id: str) -> Answer:
+    headers = {"Host": HOST, "Request-Id": request_id, "Deadline": "1500"}
+    try:
+        connection.request("GET", path, headers=headers)
+        response = connection.getresponse()
+        body = response.read()
+    except (OSError, HTTPException):
+        return Answer(request_id, kind, 0, {}, b"")
+    lowered = {name.lower(): value for name, value in response.getheaders()}
+    return Answer(request_id, kind, response.status, lowered, body)
