Refuse oversized messages at the peer port

Cause, found by reading: the receiving socket took messages of any size, so one peer or any other sender could fill the memory. Change: messages above 16 MB are refused with their connection. Result: bad_input.feature, which also shows that a handler's exception is counted and the messages after it are handled.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -56,6 +56,12 @@
   Scenario: Decoders return a result for any bytes
     Then decoding any bytes as a search, announcement or peer message returns a result
 
+  Scenario: Messages that no instance sends arrive at the peer port
+    Guards against memory that one message can fill, and against a message that ends the
+    task which receives all others.
+    When a message of 17 MB, one that its handler fails for and a usual one arrive
+    Then the usual message alone is handled, and the failure is counted
+
   Scenario: All errors of a settings file are reported at once
     Given a settings file
       """
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -1,5 +1,6 @@
 """Steps that send invalid input."""
 
+from datetime import timedelta
 from socket import create_connection
 from subprocess import run
 from sys import executable
@@ -8,14 +9,23 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from curio import run as run_task, sleep, spawn
 from expression import Result
+from fleet import free_ports
 from hypothesis import given as given_data, settings, strategies
 from msgspec.json import decode, encode
+from prometheus_client import REGISTRY
+from zmq import DEALER, Context as ZmqContext
 
+from lovagetray import Address, SystemClock
+from lovagetray._peer_messages import Envelope, NoticesSeen
+from lovagetray._types import InstanceId
 from lovagetray.wire import (
+    PeerTransport,
     decode_announcement,
     decode_envelope,
     decode_search_document,
+    encode_envelope,
 )
 
 _LONG_TEXT = "x" * 300_000
@@ -164,3 +174,56 @@
             return response.status, {}
     except HTTPError as error:
         return error.code, decode(error.read())["error"]
+
+
+@when("a message of 17 MB, one that its handler fails for and a usual one arrive")
+def send_peer_messages(context: Context) -> None:
+    context.handled = []
+    port = free_ports(1)[0]
+    sender = InstanceId("a", "1")
+
+    async def handle(envelope: Envelope) -> None:
+        match envelope.message:
+            case NoticesSeen(number=0):
+                raise OverflowError("a number is too large")
+            case NoticesSeen(number=number):
+                context.handled.append(number)
+
+    async def main() -> None:
+        transport = PeerTransport(
+            InstanceId("b", "1"),
+            Address("127.0.0.1", port),
+            SystemClock(),
+            lambda: NoticesSeen(0),
+            lambda name: timedelta(0),
+            timedelta(seconds=1),
+        )
+        task = await spawn(transport.run, {}, handle)
+        with ZmqContext() as zmq_context, zmq_context.socket(DEALER) as socket:
+            socket.connect(f"tcp://127.0.0.1:{port}")
+            frames = encode_envelope(Envelope(sender, NoticesSeen(1)))
+            socket.send_multipart([*frames[:2], b" " * (17 * 1024 * 1024)])
+            for number in (0, 7):
+                message = Envelope(sender, NoticesSeen(number))
+                for _ in range(50):
+                    # A message may be lost while the connection is opened again.
+                    socket.send_multipart(encode_envelope(message))
+                    await sleep(0.02)
+        await task.cancel()
+
+    before = _failures()
+    run_task(main)
+    context.failures = _failures() - before
+
+
+@then("the usual message alone is handled, and the failure is counted")
+def check_peer_messages(context: Context) -> None:
+    assert set(context.handled) == {7}, set(context.handled)
+    assert context.failures > 0
+
+
+def _failures() -> float:
+    count = REGISTRY.get_sample_value(
+        "lovagetray_task_failures_total", {"task": "peer_message"}
+    )
+    return count or 0.0
--- a/src/lovagetray/wire/_peers.py
+++ b/src/lovagetray/wire/_peers.py
@@ -18,6 +18,7 @@
     HEARTBEAT_TIMEOUT,
     IMMEDIATE,
     LINGER,
+    MAXMSGSIZE,
     NOBLOCK,
     POLLIN,
     RCVHWM,
@@ -46,6 +47,9 @@
     ["peer"],
 )
 _HIGH_WATER_MARK = 10_000
+# Larger messages are refused with their connection. Snapshots are sent in chunks of
+# 256 KB and a proposal has at most 1 MB.
+_MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 _HEARTBEAT_INTERVAL = timedelta(milliseconds=500)
 _UNHEARD_PEER_INTERVAL = timedelta(milliseconds=100)
 # A machine without power does not answer a connection attempt, and the operating system
@@ -163,6 +167,7 @@
     async def _receive(self, handler: MessageHandler) -> None:
         socket = self._context.socket(ROUTER)
         socket.setsockopt(RCVHWM, _HIGH_WATER_MARK)
+        socket.setsockopt(MAXMSGSIZE, _MAX_MESSAGE_BYTES)
         socket.bind(f"tcp://{self._address}")
         while True:
             _, *frames = await _receive_frames(socket)
