Bound what an entry instance reads of a target's response

The connections of the entry instances, which read with h11, kept a body without end and read informational responses for ever until their timeout, which a task that always finds data never reaches.

--- a/features/hostile_replicas.feature
+++ b/features/hostile_replicas.feature
@@ -18,6 +18,23 @@
       | trailer lines           |
       | informational responses |
 
+  Scenario Outline: A target of an entry instance sends bytes without end
+    Guards against the same at the other kind of connection, which reads with h11.
+    Given a replica whose bytes never end: <bytes>
+    When an entry instance sends a request to it
+    Then the exchange fails with connection_lost
+    And the replica could send at most 24 MB
+
+    Examples:
+      | bytes                   |
+      | header lines            |
+      | one header line         |
+      | a body                  |
+      | chunks                  |
+      | a chunk extension       |
+      | trailer lines           |
+      | informational responses |
+
   Scenario Outline: A response ends early or cannot be read
     Guards against an answer that broke off and is passed on as a complete success, and
     against an exchange without an outcome.
--- a/features/steps/hostile_replica_steps.py
+++ b/features/steps/hostile_replica_steps.py
@@ -14,6 +14,7 @@
 from lovagetray import Address, SystemClock
 from lovagetray.platform.formats import decode_reply
 from lovagetray.targets import ConnectionLimits, ConnectionPool, Exchange
+from lovagetray.wire import HttpConnection
 
 _BLOCK = 64 * 1024
 _MEGABYTE = 1024 * 1024
@@ -146,6 +147,19 @@
     _run(context, lambda pool, notice: _exchange(context, pool, notice, 1))
 
 
+@when("an entry instance sends a request to it")
+def send_from_entry(context: Context) -> None:
+    async def work(pool: ConnectionPool, notice: Any) -> None:
+        limit = timedelta(seconds=_PATIENCE_SECONDS)
+        opened = await HttpConnection.open("r", notice.address, SystemClock(), limit)
+        connection = opened.ok
+        result = await connection.exchange("GET", "/", {}, b"", limit)
+        await connection.close()
+        context.outcomes = [result.error]
+
+    _run(context, work)
+
+
 @when("two requests are sent to it, one after the other")
 def send_two(context: Context) -> None:
     _run(context, lambda pool, notice: _exchange(context, pool, notice, 2))
--- a/src/lovagetray/wire/_http_client.py
+++ b/src/lovagetray/wire/_http_client.py
@@ -13,6 +13,7 @@
     ConnectionClosed,
     Data,
     EndOfMessage,
+    InformationalResponse,
     RemoteProtocolError,
     Request,
     Response,
@@ -25,6 +26,8 @@
 from lovagetray.wire._http import HttpResponse
 
 _RECEIVE_BYTES = 65536
+_MAX_BODY_BYTES = 4 * 1024 * 1024
+_MAX_INFORMATIONAL = 8
 
 
 class HttpConnection:
@@ -183,10 +186,12 @@
         self._h11.receive_data(received)
 
     async def _read_response(self) -> Result[HttpResponse, ConnectionLost]:
-        status = 0
+        status = informational = 0
         headers: dict[str, str] = {}
         body = bytearray()
-        while True:
+        # A faulty server may send both without end; h11 limits the rest. A task that
+        # always finds data to read would also never give way to a timeout.
+        while len(body) <= _MAX_BODY_BYTES and informational <= _MAX_INFORMATIONAL:
             event = self._h11.next_event()
             if event is NEED_DATA:
                 await self._receive()
@@ -197,9 +202,12 @@
                         name.decode("ascii"): value.decode("latin-1")
                         for name, value in event.headers
                     }
+                case InformationalResponse():
+                    informational += 1
                 case Data(data=data):
                     body += data
                 case EndOfMessage():
                     return Ok(HttpResponse(status, headers, bytes(body)))
                 case ConnectionClosed():
-                    return Error(ConnectionLost(self._name))
+                    break
+        return Error(ConnectionLost(self._name))
