--- a/features/steps/listing_steps.py
+++ b/features/steps/listing_steps.py
@@ -134,6 +134,11 @@
 
 @when("a connection to it is opened ahead of use and ends unused")
 def open_unused(context: Context) -> None:
+    """Open a connection, then send a request; note before and after what is needed.
+
+    Both run in one event loop, as the connections belong to it.
+    """
+
     async def main() -> None:
         listener = socket(AF_INET, SOCK_STREAM)
         listener.bind(("127.0.0.1", 0))
@@ -166,7 +171,8 @@
 
 
 @when("a request is sent to it and its connection ends")
-def request_sent(context: Context) -> None:
+def check_request_sent(context: Context) -> None:
+    # Sent by the step before.
     assert len(context.needed) == 3
 
 
--- a/src/lovagetray/commands/discovery/_replica_gossip.py
+++ b/src/lovagetray/commands/discovery/_replica_gossip.py
@@ -77,8 +77,9 @@
 
     A notice that changes the directory is sent to every relay at once. Notices that
     only repeat what is known are relayed periodically, in batches and in a short form.
-    Lost messages are made up for by anti-entropy: each round sends a digest to a random
-    live relay, which replies with the newer notices that it has.
+    Lost messages are made up for by anti-entropy: each round sends a checksum of the
+    directory to a random live relay. If its own differs, it replies with a digest, and
+    gets the newer notices in return.
 
     An instance that is no relay forwards the notices that it gets to its relay, which
     treats them as its own and confirms them once other relays have done so.
@@ -159,8 +160,8 @@
     async def report_leaving(self, notice: ReplicaNotice) -> None:
         """Stop using a replica that states in a response that it is leaving.
 
-        The other instances are told, because a request of theirs may be the first that
-        the replica answers in this state after its time for draining has ended.
+        The other instances are told as well. Otherwise each of them would learn it only
+        by sending a request to the replica.
         """
         run = ReplicaRun(notice.replica, notice.born)
         if self._directory.mark_leaving(run):
@@ -224,7 +225,7 @@
         )
 
     async def run(self) -> None:
-        """Relay repeated notices and send a digest in each round, until cancelled.
+        """Relay repeated notices and send a checksum each round, until cancelled.
 
         Only relays do so; the other instances remove what is long gone.
         """
--- a/src/lovagetray/gateway/_instances.py
+++ b/src/lovagetray/gateway/_instances.py
@@ -182,8 +182,8 @@
     async def gossip(self) -> None:
         """Send the known instances to a random peer each second, until cancelled.
 
-        Instances that all exchange messages learn of each other so. Of a larger number
-        of them, each learns so that there are too many for that.
+        In a small fleet all instances learn of each other in this way. In a large one
+        each learns how many there are, and that it has to subscribe to a relay.
         """
         while True:
             await self._clock.sleep(_GOSSIP_INTERVAL)
