Bound the time for which a closing server accepts its queue

Change: the queue is accepted for 300 ms at most, and a failed accept ends it. Result: the new scenario fails before (not closed after 4 s) and passes; the feature passes three times.

--- a/features/caller_connection.feature
+++ b/features/caller_connection.feature
@@ -61,6 +61,12 @@
     And while half a request has arrived on one connection and none on another
     Then all 22 requests are answered once they are complete
 
+  Scenario: A server closes while new connections keep coming
+    Guards against a planned stop that never gets past the queue of new connections.
+    Given a server that echoes the path
+    When it closes while callers go on connecting
+    Then it has closed within 2 s
+
   Scenario: A handler fails
     Guards against a caller that waits until its timeout because an unexpected exception
     ended the task of its request.
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -156,6 +156,37 @@
     context.server.waiting += [context.half, context.fresh]
 
 
+@when("it closes while callers go on connecting")
+def close_while_connecting(context: Context) -> None:
+    stop = Event()
+
+    def connect_often() -> None:
+        while not stop.is_set():
+            with suppress(OSError):
+                _connect(context).close()
+            # The server runs in a thread of the same process.
+            sleep_thread(_POLL_SECONDS / 5)
+
+    threads = [Thread(target=connect_often, daemon=True) for _ in range(4)]
+    for thread in threads:
+        thread.start()
+    # Callers connect for some time before the server closes.
+    sleep_thread(20 * _POLL_SECONDS)
+    started_at = monotonic()
+    closer = Thread(target=context.server.send_command, args=("close",), daemon=True)
+    closer.start()
+    closer.join(4)
+    context.close_seconds = monotonic() - started_at
+    stop.set()
+    for thread in threads:
+        thread.join(5)
+
+
+@then("it has closed within {seconds:d} s")
+def check_close_time(context: Context, seconds: int) -> None:
+    assert context.close_seconds < seconds, context.close_seconds
+
+
 @then("all {count:d} requests are answered once they are complete")
 def check_all_answered(context: Context, count: int) -> None:
     assert len(context.server.waiting) == count
--- a/src/lovagetray/commands/agreement/_agreement_state.py
+++ b/src/lovagetray/commands/agreement/_agreement_state.py
@@ -79,8 +79,8 @@
         self.log = log
         self.lock = Lock()
         self.committed = Event()
-        # Whether this instance refused a candidate, in this term, whose log is behind
-        # its own.
+        # Whether this instance has refused a candidate whose log is behind its own
+        # since it last followed a leader.
         self.outranks_candidate = False
         self._run_id = f"{context.random.getrandbits(64):016x}"
         self._role: Role = FollowerState(None)
--- a/src/lovagetray/wire/_caller_server.py
+++ b/src/lovagetray/wire/_caller_server.py
@@ -54,6 +54,8 @@
 _CLOSE_TIMEOUT = timedelta(seconds=1)
 # Connections that the kernel has already accepted are handed out within this time.
 _BACKLOG_TIMEOUT = timedelta(milliseconds=20)
+# New connections may keep coming, so accepting the queue ends after this time.
+_MAX_BACKLOG_TIME = timedelta(milliseconds=300)
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 RequestFailure = MalformedRequest | RequestTooLarge | HeadTooLarge | RequestTooSlow
@@ -168,10 +170,15 @@
 
         Closing the listener would reset them, also those whose request has arrived.
         """
-        while True:
-            accepted = await self._clock.with_timeout(
-                _BACKLOG_TIMEOUT, listener.accept()
-            )
+        end = self._clock.monotonic_time() + _MAX_BACKLOG_TIME
+        while self._clock.monotonic_time() < end:
+            try:
+                accepted = await self._clock.with_timeout(
+                    _BACKLOG_TIMEOUT, listener.accept()
+                )
+            except OSError as error:
+                report_task_failure("accept", error)
+                return
             match accepted:
                 case Result(tag="ok", ok=(client, _)):
                     await self._start(client, group)
