Ask for missed notices when a digest names them

Change: a relay that gets a digest of another relay asks for the notices that it lacks. A request that comes within 200 ms of the last one is sent in the next round in place of being dropped.

--- a/features/announcing.feature
+++ b/features/announcing.feature
@@ -40,3 +40,25 @@
     Given an instance with peers a and b
     When peer a reports that an unknown replica repeated its notice
     Then peer a is asked for the notice at once
+
+  Scenario: A peer's digest names a notice that this instance has missed
+    Guards against an instance that serves queries while it knows only one of three
+    replicas of a shard. Their notices were sent before the connection was open; when the
+    peer then asked for notices, this instance did not ask back. The known replica
+    labelled its answers as compressed, and 13 of 40 queries had missing parts.
+    Given an instance with peers a and b
+    When peer a sends a digest that names an unknown replica
+    Then peer a is asked for the notice at once
+
+  Scenario: A peer is asked again if its notice is still missing
+    Guards against a request that was lost, as the connection was not open, and is
+    repeated only when a further message shows that the notice is missing.
+    Given an instance with peers a and b
+    When peer a sends a digest that names an unknown replica twice within 50 ms
+    Then peer a is asked for the notice 2 times within 600 ms
+
+  Scenario: A peer's digest names nothing new
+    Guards against instances that ask each other for notices for ever.
+    Given an instance with peers a and b
+    When peer a sends a digest that names no unknown replica
+    Then peer a is not asked for notices
--- a/features/steps/announcing_steps.py
+++ b/features/steps/announcing_steps.py
@@ -19,7 +19,7 @@
     ReplicasHeard,
     ReplicasLeft,
 )
-from lovagetray._routing_types import RepeatedNotice, ReplicaState
+from lovagetray._routing_types import NoticeVersion, RepeatedNotice, ReplicaState
 from lovagetray._types import InstanceId
 from lovagetray.commands.discovery import ReplicaGossip
 from lovagetray.state import (
@@ -32,6 +32,7 @@
 
 _LIFETIME = timedelta(hours=1)
 _CONFIRM_DELAY = timedelta(milliseconds=40)
+_DIGEST = NoticeDigest((NoticeVersion("r9", (1000, False, 3)),))
 
 
 class ConfirmingTransport:
@@ -104,6 +105,50 @@
     _run(context, (), lambda replica_gossip: replica_gossip.receive("a", message))
 
 
+@when("peer a sends a digest that names an unknown replica")
+def receive_digest(context: Context) -> None:
+    _run(context, (), lambda replica_gossip: replica_gossip.receive("a", _DIGEST))
+
+
+@when("peer a sends a digest that names an unknown replica twice within 50 ms")
+def receive_digest_twice(context: Context) -> None:
+    async def work(replica_gossip: ReplicaGossip) -> None:
+        await spawn(replica_gossip.run, daemon=True)
+        await replica_gossip.receive("a", _DIGEST)
+        await SystemClock().sleep(timedelta(milliseconds=50))
+        await replica_gossip.receive("a", _DIGEST)
+        await SystemClock().sleep(timedelta(milliseconds=550))
+
+    _run(context, (), work)
+
+
+@when("peer a sends a digest that names no unknown replica")
+def receive_known_digest(context: Context) -> None:
+    notice = make_notice("r1")
+    digest = NoticeDigest((NoticeVersion("r1", notice.order),))
+
+    async def work(replica_gossip: ReplicaGossip) -> None:
+        await replica_gossip.accept(notice)
+        await replica_gossip.receive("a", digest)
+
+    _run(context, (), work)
+
+
+@then("peer a is asked for the notice {count:d} times within 600 ms")
+def check_asked_again(context: Context, count: int) -> None:
+    asked = [
+        message for message in context.transport.sent if message == NoticeDigest(())
+    ]
+    assert len(asked) == count, context.transport.sent
+
+
+@then("peer a is not asked for notices")
+def check_not_asked(context: Context) -> None:
+    assert not any(
+        isinstance(message, NoticeDigest) for message in context.transport.sent
+    ), context.transport.sent
+
+
 @then("peer a is asked for the notice at once")
 def check_asked(context: Context) -> None:
     assert context.transport.sent == [NoticeDigest(())], context.transport.sent
--- a/src/lovagetray/commands/discovery/_replica_gossip.py
+++ b/src/lovagetray/commands/discovery/_replica_gossip.py
@@ -79,7 +79,7 @@
     only repeat what is known are relayed periodically, in batches and in a short form.
     Lost messages are made up for by anti-entropy: each round sends a checksum of the
     directory to a random live relay. If its own differs, it replies with a digest, and
-    gets the newer notices in return.
+    gets the newer notices in return. A relay that lacks what a digest names asks for it.
 
     An instance that is no relay forwards the notices that it gets to its relay, which
     treats them as its own and confirms them once other relays have done so.
@@ -104,6 +104,8 @@
         self._confirmations: dict[int, _PendingConfirmation] = {}
         self._replicas_to_relay: set[str] = set()
         self._requested_at: dict[str, timedelta] = {}
+        # Instances whose notices are missing here, asked too recently to ask again.
+        self._postponed_requests: set[str] = set()
 
     async def accept(
         self, notice: ReplicaNotice, timeout: timedelta = _CONFIRMATION_TIMEOUT
@@ -209,16 +211,21 @@
                 )
                 if newer:
                     await self._transport.send(sender, ReplicaNotices(0, newer))
+                if from_relay and self._directory.is_older_than(versions):
+                    await self.request_missing(sender)
 
     async def request_missing(self, name: str) -> None:
         """Request the notices that this instance lacks, by sending it a digest.
 
-        No request is sent within 200 ms of the last one to the same instance.
+        No request is sent within 200 ms of the last one to the same instance; it is
+        then sent in the next round.
         """
         now = self._clock.monotonic_time()
         requested_at = self._requested_at.get(name)
         if requested_at is not None and now - requested_at < _MIN_REQUEST_INTERVAL:
+            self._postponed_requests.add(name)
             return
+        self._postponed_requests.discard(name)
         self._requested_at[name] = now
         await self._transport.send(
             name, NoticeDigest(tuple(self._directory.notice_versions()))
@@ -236,6 +243,8 @@
             await self._clock.sleep(self._round_interval(now - started_at))
             now = self._clock.monotonic_time()
             self._directory.expire(now, judge_silence=self._relays.is_relay)
+            for name in sorted(self._postponed_requests):
+                await self.request_missing(name)
             if not self._relays.is_relay:
                 self._replicas_to_relay.clear()
                 continue
--- a/src/lovagetray/state/_replica_directory.py
+++ b/src/lovagetray/state/_replica_directory.py
@@ -260,6 +260,14 @@
             > orders.get(known.notice.replica, _BEFORE_ALL_NOTICES)
         ]
 
+    def is_older_than(self, versions: Iterable[NoticeVersion]) -> bool:
+        """Return whether any notice in `versions` is missing or older here."""
+        for version in versions:
+            known = self._replicas.get(version.replica)
+            if known is None or known.notice.order < version.order:
+                return True
+        return False
+
     def expire(self, now: timedelta, judge_silence: bool = True) -> None:
         """Mark silent replicas and remove those that stay silent or have left.
 
