--- a/src/lovagetray/commands/discovery/_replica_gossip.py
+++ b/src/lovagetray/commands/discovery/_replica_gossip.py
@@ -79,7 +79,8 @@
     only repeat what is known are relayed periodically, in batches and in a short form.
     Lost messages are made up for by anti-entropy: each round sends a checksum of the
     directory to a random live relay. If its own differs, it replies with a digest, and
-    gets the newer notices in return. A relay that lacks what a digest names asks for it.
+    gets the newer notices in return. A relay that lacks what a digest names requests
+    it.
 
     An instance that is no relay forwards the notices that it gets to its relay, which
     treats them as its own and confirms them once other relays have done so.
