Send callers to the instances with the fastest machines

Eight of the 71 machines have 1.38 cores and 70 Mbit/s, but callers were spread over twelve by hash.

Change: the settings' capacity of the machine travels with heartbeats, subscriptions and the feed of relays. Where more than 20 instances serve, and at least four in the data centres with replicas are twice as fast as the rest and can do their work, only those are listed. New metrics count messages and bytes between instances by kind.

The new scenarios fail before.

--- a/features/fakes/directory_fleet.py
+++ b/features/fakes/directory_fleet.py
@@ -18,7 +18,7 @@
     SubscribersHeard,
 )
 from lovagetray._routing_types import ReplicaNotice
-from lovagetray._types import InstanceId
+from lovagetray._types import InstanceCapacity, InstanceId
 from lovagetray.commands.discovery import FeedPublisher, ReplicaGossip, Subscription
 from lovagetray.state import (
     InstanceRecord,
@@ -51,7 +51,9 @@
             address,
         )
         self.alive = True
-        self.members = Members(record, timedelta(seconds=2))
+        self.members = Members(
+            record, timedelta(seconds=2), own_capacity=InstanceCapacity(1.0, number + 1)
+        )
         self.directory = ReplicaDirectory(_LIFETIME, _RETENTION)
         self.relays = Relays(self.name)
         self.relays.update(fleet.relays)
@@ -90,9 +92,12 @@
                 await self.publisher.receive_subscription(message)
             case FeedUpdate():
                 await self.subscription.receive(sender, message)
-            case SubscribersHeard(names=names, records=records, lost=lost):
+            case SubscribersHeard(
+                names=names, records=records, lost=lost, capacities=capacities
+            ):
                 for record in records:
-                    self.members.update_record(record, now)
+                    capacity = capacities.get(record.instance.name)
+                    self.members.update_record(record, now, capacity)
                 self.members.record_heard(sender, names, now)
                 self.members.record_lost(sender, lost)
             case _:
@@ -149,8 +154,10 @@
         now = SystemClock().monotonic_time()
         for name in self.relays:
             for other in self.relays:
-                record = self.instances[other].members.own_record
-                self.instances[name].members.update_record(record, now)
+                members = self.instances[other].members
+                self.instances[name].members.update_record(
+                    members.own_record, now, members.own_capacity
+                )
         for instance in self.instances.values():
             await instance.run()
         await spawn(self._heartbeats, daemon=True)
--- a/features/listing.feature
+++ b/features/listing.feature
@@ -20,6 +20,39 @@
     When all instances in the data centres with replicas fail
     Then 12 instances are listed, evenly in the other data centres
 
+  Scenario: Some instances have a faster link
+    Guards against queries at instances whose link takes longer for the responses of all
+    shards than the caller waits: 54 responses of 1 kB take 80 ms at 7 Mbit/s. On a day
+    with 71 instances, 8 of them with 70 Mbit/s, half of the queries were late.
+    Given 70 serving instances in 5 data centres and replicas in 4 of them
+    And 0.516 cores and 7 Mbit/s each, but 10 with 1.38 cores and 70 Mbit/s
+    Then the 8 fast instances are listed
+
+  Scenario: One of the fast instances fails
+    Guards against a list that changes as a whole when a fast instance is lost.
+    Given 70 serving instances in 5 data centres and replicas in 4 of them
+    And 0.516 cores and 7 Mbit/s each, but 10 with 1.38 cores and 70 Mbit/s
+    When a listed instance fails
+    Then the 7 fast instances are listed
+
+  Scenario Outline: The fast instances are too few for the work
+    Guards against all callers at instances that the loss of one leaves overloaded, or
+    that cannot do the work at all.
+    Given <size> serving instances in 5 data centres and replicas in 4 of them
+    And 0.516 cores and 20 Mbit/s each, but <fast> with 1.38 cores and <link> Mbit/s
+    Then <listed> instances are listed
+
+    Examples:
+      | size | fast | link | listed |
+      | 70   | 3    | 100  | 12     |
+      | 200  | 4    | 100  | 25     |
+
+  Scenario: All instances are as fast
+    Guards against a list that depends on a difference between equal machines.
+    Given 70 serving instances in 5 data centres and replicas in 4 of them
+    And 0.516 cores and 20 Mbit/s each, but 0 with 1.38 cores and 100 Mbit/s
+    Then 12 instances are listed
+
   Scenario: A small fleet
     Guards against instances of a small fleet that serve nobody.
     Given 11 serving instances in 4 data centres and replicas in 3 of them
--- a/features/relays.feature
+++ b/features/relays.feature
@@ -77,3 +77,10 @@
     When 3 replicas announce themselves and 3 seconds pass
     Then each subscriber follows the relay in its data centre, if there is one
     And the others are spread over the relays
+
+  Scenario: The capacities reach every instance
+    Guards against instances that list others than their neighbours do, because relays
+    do not pass on what a subscriber states about its machine.
+    Given 30 instances in 6 data centres, 5 of them relays
+    When 3 replicas announce themselves and 3 seconds pass
+    Then every instance knows the capacity of every other one
--- a/features/steps/listing_steps.py
+++ b/features/steps/listing_steps.py
@@ -10,7 +10,7 @@
 from fakes.replica_script import make_notice
 
 from lovagetray import Address, SystemClock
-from lovagetray._types import InstanceId
+from lovagetray._types import InstanceCapacity, InstanceId
 from lovagetray.gateway import Listing
 from lovagetray.platform.formats import decode_reply
 from lovagetray.queries.load_balancing import connection_limits
@@ -48,14 +48,44 @@
         )
     context.replicas = {f"d{number}": 42 for number in range(with_replicas)}
     context.replicas[f"d{centres - 1}"] = 2
-    context.listed = listed_instances(context.records, context.replicas)
+    context.capacities = {}
+    _list(context)
+
+
+@given(
+    "{cores:g} cores and {link:g} Mbit/s each, "
+    "but {count:d} with {fast_cores:g} cores and {fast_link:g} Mbit/s"
+)
+def set_capacities(
+    context: Context,
+    cores: float,
+    link: float,
+    count: int,
+    fast_cores: float,
+    fast_link: float,
+) -> None:
+    for number, record in enumerate(context.records):
+        context.capacities[record.instance.name] = (
+            InstanceCapacity(fast_cores, fast_link)
+            if number < count
+            else InstanceCapacity(cores, link)
+        )
+    context.fast = context.records[:count]
+    _list(context)
 
 
 @when("a listed instance fails")
 def fail_one(context: Context) -> None:
     context.before = context.listed
-    left = [record for record in context.records if record != context.listed[3]]
-    context.listed = listed_instances(left, context.replicas)
+    failed = context.listed[3]
+    context.records = [record for record in context.records if record != failed]
+    _list(context)
+
+
+@then("the {count:d} fast instances are listed")
+def check_fast(context: Context, count: int) -> None:
+    assert len(context.listed) == count, context.listed
+    assert set(context.listed) <= set(context.fast), context.listed
 
 
 @when("all instances in the data centres with replicas fail")
@@ -65,7 +95,7 @@
         for record in context.records
         if context.replicas.get(record.data_centre, 0) < 42
     ]
-    context.listed = listed_instances(context.records, context.replicas)
+    _list(context)
 
 
 @then("the list has one other instance in its place")
@@ -98,7 +128,8 @@
 @then("all instances that know the same ones list the same ones")
 def check_same(context: Context) -> None:
     shuffled = sorted(context.records, key=lambda record: record.instance.name[::-1])
-    assert listed_instances(shuffled, context.replicas) == context.listed
+    listed = listed_instances(shuffled, context.replicas, context.capacities)
+    assert listed == context.listed
 
 
 @then("the parts of all instances add up to at most the whole retry budget")
@@ -181,6 +212,12 @@
     assert context.needed[2], context.needed
 
 
+def _list(context: Context) -> None:
+    context.listed = listed_instances(
+        context.records, context.replicas, context.capacities
+    )
+
+
 class _IgnoringWaiter:
     async def deliver(self, exchange: Exchange, outcome: object) -> None:
         """Ignore the outcome."""
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -163,6 +163,14 @@
     assert len(chosen) >= 3, chosen
 
 
+@then("every instance knows the capacity of every other one")
+def check_capacities(context: Context) -> None:
+    instances = context.fleet_of_relays.instances
+    for instance in instances.values():
+        capacities = instance.members.capacities()
+        assert set(capacities) == set(instances), instance.name
+
+
 def _announce(context: Context, replicas: Iterable[int], seconds: int) -> None:
     """Let replicas repeat their notices every second."""
 
--- a/src/lovagetray/_gateway_settings.py
+++ b/src/lovagetray/_gateway_settings.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from lovagetray._types import Address
+from lovagetray._types import Address, InstanceCapacity
 
 
 class GatewayAddresses(NamedTuple):
@@ -67,6 +67,8 @@
     address_lifetime
         Time for which callers may cache a list of addresses. A lookup costs a caller
         one or two round trips, so a longer time reduces its latency.
+    capacity
+        Capacity of the machine; None if the settings do not state it.
     """
 
     data_centre: str
@@ -79,6 +81,7 @@
     grace_period: timedelta
     address_lifetime: timedelta
     retry_budget: RetryBudgetLimits
+    capacity: InstanceCapacity | None = None
 
     @property
     def name(self) -> str:
--- a/src/lovagetray/_peer_messages.py
+++ b/src/lovagetray/_peer_messages.py
@@ -22,6 +22,7 @@
     Announcement,
     ExecuteReply,
     ExecuteRequest,
+    InstanceCapacity,
     InstanceId,
     SubReply,
     SubRequest,
@@ -84,9 +85,16 @@
 
 
 class Heartbeat(Struct, frozen=True):
-    """A sign that the sender is alive, with its current record."""
+    """A sign that the sender is alive, with its current record.
+
+    Parameters
+    ----------
+    capacity
+        Capacity of its machine; None if it is unknown.
+    """
 
     record: InstanceRecord
+    capacity: InstanceCapacity | None = None
 
 
 class Announced(Struct, frozen=True):
@@ -331,10 +339,13 @@
         Record of the subscriber.
     position
         Newest version of the relay's feed that the subscriber has.
+    capacity
+        Capacity of the subscriber's machine; None if it is unknown.
     """
 
     record: InstanceRecord
     position: FeedPosition
+    capacity: InstanceCapacity | None = None
 
 
 class FeedUpdate(Struct, frozen=True):
@@ -366,11 +377,14 @@
         Records of those that changed, and at times of all.
     lost
         Names of former subscribers that have just fallen silent.
+    capacities
+        Capacities, by name, of those whose records are sent.
     """
 
     names: tuple[str, ...]
     records: tuple[InstanceRecord, ...]
     lost: tuple[str, ...] = ()
+    capacities: dict[str, InstanceCapacity] = {}
 
 
 class KnownInstances(Struct, frozen=True):
--- a/src/lovagetray/_types.py
+++ b/src/lovagetray/_types.py
@@ -56,6 +56,21 @@
     incarnation: str
 
 
+class InstanceCapacity(NamedTuple):
+    """Capacity of the machine of an instance.
+
+    Parameters
+    ----------
+    cores
+        Processor cores that the machine may use.
+    link_mbps
+        Bandwidth of the machine's network link in Mbit/s.
+    """
+
+    cores: float
+    link_mbps: float
+
+
 class Snapshot(NamedTuple):
     """An index version together with the partition map that divides it."""
 
--- a/src/lovagetray/commands/discovery/_feed_publisher.py
+++ b/src/lovagetray/commands/discovery/_feed_publisher.py
@@ -85,7 +85,7 @@
         name = record.instance.name
         known = self._subscribers.get(name)
         relayed = known is not None and known.relayed and known.record == record
-        self._members.update_record(record, now)
+        self._members.update_record(record, now, message.capacity)
         if self._feed.position.version == 0:
             self._publish(now)
         self._subscribers[name] = _Subscriber(record, message.position, now, relayed)
@@ -137,11 +137,14 @@
     def _entries(self, now: timedelta) -> Mapping[str, FeedEntry]:
         own = self._members.own_record
         entries: dict[str, FeedEntry] = {
-            f"instance {own.instance.name}": FedInstance(own, True)
+            f"instance {own.instance.name}": FedInstance(
+                own, True, self._members.own_capacity
+            )
         }
         for known in self._members.known_instances():
             key = f"instance {known.record.instance.name}"
-            entries[key] = FedInstance(known.record, self._members.is_live(known, now))
+            live = self._members.is_live(known, now)
+            entries[key] = FedInstance(known.record, live, known.capacity)
         entries.update(self._replica_entries())
         return entries
 
@@ -181,5 +184,13 @@
             if complete or not subscriber.relayed:
                 records.append(subscriber.record)
                 subscriber.relayed = True
-        message = SubscribersHeard(tuple(self._subscribers), tuple(records))
+        known = self._members.capacities()
+        capacities = {
+            name: known[name]
+            for name in (record.instance.name for record in records)
+            if name in known
+        }
+        message = SubscribersHeard(
+            tuple(self._subscribers), tuple(records), capacities=capacities
+        )
         await self._transport.broadcast(message)
--- a/src/lovagetray/commands/discovery/_subscription.py
+++ b/src/lovagetray/commands/discovery/_subscription.py
@@ -62,7 +62,7 @@
             # An update in between was lost; the next poll asks for it.
             return
         for instance in update.instances:
-            self._members.follow(instance.record, instance.live, now)
+            self._members.follow(instance.record, instance.live, now, instance.capacity)
         for replica in update.replicas:
             self._directory.follow(replica.notice, replica.leaving, replica.silent, now)
         self._position = update.position
@@ -77,7 +77,12 @@
         chosen = self._relays.chosen
         if chosen is not None:
             await self._transport.send(
-                chosen, Subscribe(self._members.own_record, self._position)
+                chosen,
+                Subscribe(
+                    self._members.own_record,
+                    self._position,
+                    self._members.own_capacity,
+                ),
             )
 
     def _best_relay(self, now: timedelta) -> str | None:
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -463,7 +463,8 @@
             case Heartbeat() | KnownInstances() | SubscribersHeard() as message:
                 await self._instances.receive(sender, message, now)
             case Subscribe() as message:
-                await self._instances.receive(sender, Heartbeat(message.record), now)
+                heartbeat = Heartbeat(message.record, message.capacity)
+                await self._instances.receive(sender, heartbeat, now)
                 await self._discovery.receive(sender, message)
             case message if isinstance(message, AgreementMessage):
                 await self._agreement.handle(sender, message)
--- a/src/lovagetray/gateway/_instances.py
+++ b/src/lovagetray/gateway/_instances.py
@@ -14,7 +14,7 @@
     PeerMessage,
     SubscribersHeard,
 )
-from lovagetray._types import Address, InstanceId
+from lovagetray._types import Address, InstanceCapacity, InstanceId
 from lovagetray.commands.agreement import Agreement
 from lovagetray.commands.discovery import ReplicaGossip
 from lovagetray.queries.membership import MAX_MESH_INSTANCES, choose_relay, relay_names
@@ -79,7 +79,10 @@
         # Largest number of instances that another one knows.
         self._fleet_size = 1
         self.members = Members(
-            _own_record(settings, random), _FAILURE_TIMEOUT, self._failure_timeout_of
+            _own_record(settings, random),
+            _FAILURE_TIMEOUT,
+            self._failure_timeout_of,
+            settings.capacity,
         )
         self.peers = PeerTransport(
             self.members.own_record.instance,
@@ -112,8 +115,8 @@
         return choose_relay(name, data_centre, live, records, failed=())
 
     def heartbeat(self) -> Heartbeat:
-        """Return the heartbeat message, with the record of this instance."""
-        return Heartbeat(self.members.own_record)
+        """Return the heartbeat message, with the record and capacity of this one."""
+        return Heartbeat(self.members.own_record, self.members.own_capacity)
 
     async def change_state(self, state: InstanceState) -> None:
         """Set the state of this instance and broadcast it."""
@@ -148,8 +151,8 @@
     ) -> None:
         """Handle records of another instance, of itself or of those that it knows."""
         match message:
-            case Heartbeat(record=record):
-                await self._receive_record(record, now)
+            case Heartbeat(record=record, capacity=capacity):
+                await self._receive_record(record, capacity, now)
             case KnownInstances(records=records, total=total):
                 self._fleet_size = max(self._fleet_size, total, len(records))
                 self._update_relays()
@@ -159,9 +162,12 @@
                     await self.peers.send(sender, self._known_instances())
                 for record in records:
                     await self._meet(record.instance.name, record.peer_address)
-            case SubscribersHeard(names=names, records=records, lost=lost):
+            case SubscribersHeard(
+                names=names, records=records, lost=lost, capacities=capacities
+            ):
                 for record in records:
-                    self.members.update_record(record, now)
+                    known_capacity = capacities.get(record.instance.name)
+                    self.members.update_record(record, now, known_capacity)
                     await self._meet(record.instance.name, record.peer_address)
                 self.members.record_heard(sender, names, now)
                 self.members.record_lost(sender, lost)
@@ -210,11 +216,16 @@
         if self.relays.is_relay:
             self.members.judge_itself(self._clock.monotonic_time())
 
-    async def _receive_record(self, record: InstanceRecord, now: timedelta) -> None:
+    async def _receive_record(
+        self,
+        record: InstanceRecord,
+        capacity: InstanceCapacity | None,
+        now: timedelta,
+    ) -> None:
         """Update an instance's record; exchange what is known with a new instance."""
         name = record.instance.name
         known = self.members.record(name)
-        self.members.update_record(record, now)
+        self.members.update_record(record, now, capacity)
         if known is None:
             self._update_relays()
         await self._meet(name, record.peer_address)
--- a/src/lovagetray/gateway/_listing.py
+++ b/src/lovagetray/gateway/_listing.py
@@ -78,6 +78,6 @@
             if known.usable
         )
         serving = self._members.serving(now)
-        self._listed = listed_instances(serving, replicas)
+        self._listed = listed_instances(serving, replicas, self._members.capacities())
         self._some_unlisted = len(self._listed) < len(serving)
         self._is_listed = self._members.own_record in self._listed
--- a/src/lovagetray/platform/_settings.py
+++ b/src/lovagetray/platform/_settings.py
@@ -1,6 +1,7 @@
 """Decoding of the settings file of a gateway process on the platform."""
 
 from datetime import timedelta
+from math import inf
 from os import environ
 from pathlib import Path
 from tomllib import TOMLDecodeError, loads
@@ -14,7 +15,7 @@
     RetryBudgetLimits,
 )
 from lovagetray._settings_errors import InvalidSettings, SettingProblem
-from lovagetray._types import Address
+from lovagetray._types import Address, InstanceCapacity
 
 _PATH_VARIABLE = "LOVAGETRAY_SETTINGS"
 _DEFAULT_PATH = "/etc/lovagetray/settings.toml"
@@ -39,6 +40,14 @@
     retry_budget_fixed: float = field(name="RetrySlack", default=0.0)
 
 
+class _Limits(Struct):
+    # Share of the time for which the machine may use its one processor core.
+    processor_share: float = field(name="CpuShare", default=0.0)
+    # Speed of that core; despite its name it is no number of cores.
+    processor_speed: float = field(name="CpuCores", default=1.0)
+    link_mbps: float = field(name="LinkMbps", default=0.0)
+
+
 class _SettingsFile(Struct):
     ip: str = field(name="Ip")
     data_centre: str = field(name="Zone")
@@ -54,6 +63,7 @@
     tolerance: _FaultTolerance = field(
         name="FaultTolerance", default_factory=_FaultTolerance
     )
+    limits: _Limits = field(name="Limits", default_factory=_Limits)
 
 
 def settings_file() -> Path:
@@ -99,4 +109,13 @@
             int(file.bounds.retry_budget_fixed),
             timedelta(seconds=file.bounds.retry_budget_window_seconds),
         ),
+        capacity=_capacity(file.limits),
     )
+
+
+def _capacity(limits: _Limits) -> InstanceCapacity | None:
+    """Return the capacity of the machine, or None if it is not stated."""
+    cores = limits.processor_share * limits.processor_speed
+    if not (0 < cores < inf and 0 < limits.link_mbps < inf):
+        return None
+    return InstanceCapacity(cores, limits.link_mbps)
--- a/src/lovagetray/state/_directory_feed.py
+++ b/src/lovagetray/state/_directory_feed.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from lovagetray._routing_types import ReplicaNotice
+from lovagetray._types import InstanceCapacity
 from lovagetray.state._members import InstanceRecord
 
 
@@ -12,6 +13,7 @@
 
     record: InstanceRecord
     live: bool
+    capacity: InstanceCapacity | None = None
 
 
 class FedReplica(NamedTuple):
--- a/src/lovagetray/state/_members.py
+++ b/src/lovagetray/state/_members.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from lovagetray._types import Address, InstanceId
+from lovagetray._types import Address, InstanceCapacity, InstanceId
 
 # Earlier than any time on the monotonic clock.
 _NEVER = timedelta(days=-1)
@@ -48,12 +48,15 @@
         subscribes to; None if this instance judges by `heard_at`.
     heard_by
         The relay that heard the instance last; None if this instance did.
+    capacity
+        Capacity of its machine; None if it has not stated it.
     """
 
     record: InstanceRecord
     heard_at: timedelta
     live: bool | None = None
     heard_by: str | None = None
+    capacity: InstanceCapacity | None = None
 
 
 class Members:
@@ -68,6 +71,8 @@
     timeout_of
         Returns the silence after which the instance of a name counts as failed; by
         default `failure_timeout` for all.
+    own_capacity
+        Capacity of this machine; None if it is unknown.
     """
 
     def __init__(
@@ -75,8 +80,10 @@
         own_record: InstanceRecord,
         failure_timeout: timedelta,
         timeout_of: Callable[[str], timedelta] | None = None,
+        own_capacity: InstanceCapacity | None = None,
     ) -> None:
         self._own_record = own_record
+        self._own_capacity = own_capacity
         self._timeout_of = timeout_of or (lambda name: failure_timeout)
         self._known_instances: dict[str, KnownInstance] = {}
 
@@ -85,6 +92,11 @@
         """The record of this instance."""
         return self._own_record
 
+    @property
+    def own_capacity(self) -> InstanceCapacity | None:
+        """The capacity of this machine; None if it is unknown."""
+        return self._own_capacity
+
     def change_own_state(self, state: InstanceState) -> None:
         """Set the announced state of this instance."""
         self._own_record = self._own_record._replace(state=state)
@@ -93,13 +105,25 @@
         """Set the revision of the settings in force at this instance."""
         self._own_record = self._own_record._replace(revision=revision)
 
-    def update_record(self, record: InstanceRecord, heard_at: timedelta) -> None:
-        """Store the record of another instance, received at `heard_at`."""
+    def update_record(
+        self,
+        record: InstanceRecord,
+        heard_at: timedelta,
+        capacity: InstanceCapacity | None = None,
+    ) -> None:
+        """Store the record of another instance, received at `heard_at`.
+
+        Without a `capacity`, the one that is known is kept.
+        """
         if record.instance.name != self._own_record.instance.name:
             known = self._known_instances.get(record.instance.name)
-            live = None if known is None else known.live
+            if known is not None:
+                capacity = capacity or known.capacity
             self._known_instances[record.instance.name] = KnownInstance(
-                record, heard_at, live
+                record,
+                heard_at,
+                live=None if known is None else known.live,
+                capacity=capacity,
             )
 
     def record_message(self, instance: InstanceId, heard_at: timedelta) -> None:
@@ -134,13 +158,21 @@
             if known is not None and known.heard_by == relay:
                 self._known_instances[name] = known._replace(heard_at=_NEVER)
 
-    def follow(self, record: InstanceRecord, live: bool, now: timedelta) -> None:
+    def follow(
+        self,
+        record: InstanceRecord,
+        live: bool,
+        now: timedelta,
+        capacity: InstanceCapacity | None = None,
+    ) -> None:
         """Store a record and the relay's judgement whether the instance is live."""
         name = record.instance.name
         if name != self._own_record.instance.name:
             known = self._known_instances.get(name)
             heard_at = now if known is None else known.heard_at
-            self._known_instances[name] = KnownInstance(record, heard_at, live)
+            self._known_instances[name] = KnownInstance(
+                record, heard_at, live, capacity=capacity
+            )
 
     def judge_itself(self, now: timedelta) -> None:
         """Judge by own messages which instances are live, as a relay does.
@@ -150,7 +182,9 @@
         for name, known in self._known_instances.items():
             if known.live is not None:
                 heard_at = now if known.live else known.heard_at
-                self._known_instances[name] = KnownInstance(known.record, heard_at)
+                self._known_instances[name] = KnownInstance(
+                    known.record, heard_at, capacity=known.capacity
+                )
 
     def record(self, name: str) -> InstanceRecord | None:
         """Return the last record of an instance, or None if it is unknown."""
@@ -159,6 +193,17 @@
         known = self._known_instances.get(name)
         return None if known is None else known.record
 
+    def capacities(self) -> dict[str, InstanceCapacity]:
+        """Return the known capacities by name of the instance, also of this one."""
+        capacities = {
+            name: known.capacity
+            for name, known in self._known_instances.items()
+            if known.capacity is not None
+        }
+        if self._own_capacity is not None:
+            capacities[self._own_record.instance.name] = self._own_capacity
+        return capacities
+
     def time_since_heard(self, name: str, now: timedelta) -> timedelta:
         """Return how long an instance was silent; `timedelta.max` if it is unknown."""
         known = self._known_instances.get(name)
--- a/src/lovagetray/wire/_peers.py
+++ b/src/lovagetray/wire/_peers.py
@@ -46,6 +46,14 @@
     "Messages to a peer that were not sent because no connection was open",
     ["peer"],
 )
+_sent_total = Counter(
+    "lovagetray_peer_messages_sent_total", "Messages sent to peers", ["kind"]
+)
+_sent_bytes_total = Counter(
+    "lovagetray_peer_bytes_sent_total",
+    "Bytes of the frames of messages sent to peers",
+    ["kind"],
+)
 _HIGH_WATER_MARK = 10_000
 # Larger messages are refused with their connection. Snapshots are sent in chunks of
 # 256 KB and a proposal has at most 1 MB.
@@ -232,12 +240,15 @@
         return socket
 
     def _send_message(self, socket: Any, name: str, message: PeerMessage) -> None:
+        frames = encode_envelope(Envelope(self._own_id, message))
         try:
-            socket.send_multipart(
-                encode_envelope(Envelope(self._own_id, message)), NOBLOCK
-            )
+            socket.send_multipart(frames, NOBLOCK)
         except Again:
             _dropped_total.labels(name).inc()
+            return
+        kind = type(message).__name__
+        _sent_total.labels(kind).inc()
+        _sent_bytes_total.labels(kind).inc(sum(map(len, frames)))
 
 
 async def _receive_frames(socket: Any) -> list[bytes]:
