Count instances of unknown capacity as slow

Cause: an instance that has not stated its capacity, one of an earlier version or one just met, counted as having one core and 100 Mbit/s, which is fast beside machines with 0.516 cores and 7 Mbit/s; callers would be sent there.

Change: it counts as the slowest known one. The new scenario fails before.

--- a/features/listing.feature
+++ b/features/listing.feature
@@ -47,6 +47,14 @@
       | 70   | 3    | 100  | 12     |
       | 200  | 4    | 100  | 25     |
 
+  Scenario: Some instances have not stated their capacity
+    Guards against callers at instances of an earlier version, or at ones that have just
+    been met, as if their machines were fast.
+    Given 70 serving instances in 5 data centres and replicas in 4 of them
+    And 0.516 cores and 7 Mbit/s each, but 10 with 1.38 cores and 70 Mbit/s
+    And 20 of the slow instances have not stated their capacity
+    Then the 8 fast instances are listed
+
   Scenario: All instances are as fast
     Guards against a list that depends on a difference between equal machines.
     Given 70 serving instances in 5 data centres and replicas in 4 of them
--- a/features/steps/listing_steps.py
+++ b/features/steps/listing_steps.py
@@ -74,6 +74,13 @@
     _list(context)
 
 
+@given("{count:d} of the slow instances have not stated their capacity")
+def remove_capacities(context: Context, count: int) -> None:
+    for record in context.records[-count:]:
+        del context.capacities[record.instance.name]
+    _list(context)
+
+
 @when("a listed instance fails")
 def fail_one(context: Context) -> None:
     context.before = context.listed
--- a/src/lovagetray/queries/routing/_addresses.py
+++ b/src/lovagetray/queries/routing/_addresses.py
@@ -36,7 +36,6 @@
 # target latency of such a query.
 _QUERY_CORE_SECONDS = 0.01
 _QUERY_MEGABITS = 0.56
-_UNKNOWN_CAPACITY = InstanceCapacity(cores=1.0, link_mbps=100.0)
 
 
 class AddressList(NamedTuple):
@@ -92,13 +91,18 @@
     """Return the fast ones of some instances, or none if they are too few.
 
     They are enough if they do as much together as `count` instances of median speed.
+    An instance that has not stated its capacity counts as the slowest of them.
     """
-    if not records:
+    known = {
+        record.instance.name: _queries_per_second(capacities[record.instance.name])
+        for record in records
+        if record.instance.name in capacities
+    }
+    if not known:
         return []
+    slowest = min(known.values())
     speeds = {
-        record.instance.name: _queries_per_second(
-            capacities.get(record.instance.name, _UNKNOWN_CAPACITY)
-        )
+        record.instance.name: known.get(record.instance.name, slowest)
         for record in records
     }
     limit = _FAST_SHARE * max(speeds.values())
