Check promises to leaving and refusing replicas in the fault soak

The stand-in's replicas now do both in the soak, and its checks compare what each replica saw with the times of the callers' requests: none that was sent 3 s after the gateway passed on such an answer, and at most two from half a second after a refusal to its end; kills, stops and pauses of the gateway excuse it. Two scenarios show that the checks fire.

--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -3,6 +3,7 @@
 from behave import then, when
 from behave.runner import Context
 from soak.promises import Answer, ConfigRead, Promises
+from soak.replica_promises import Delivery, Disturbance, ReplicaEvent
 from soak.run import SoakRun
 
 _LOW, _HIGH = b"a" * 16, b"b" * 16
@@ -22,6 +23,22 @@
     assert not context.problems, context.problems
 
 
+@when("a caller sees an answer of a replica that left 4 s before")
+def see_answer_after_leaving(context: Context) -> None:
+    events = [
+        ReplicaEvent("leaving", "q0", 1.0, 1),
+        ReplicaEvent("arrived", "q4", 5.2, 1),
+    ]
+    _check_replica_events(context, events, Disturbance(0, 1.5, 2.0))
+
+
+@when("a caller sees 3 answers of a replica that wants none")
+def see_answers_of_refusing(context: Context) -> None:
+    events = [ReplicaEvent("refused", "q0", 1.0, 1)]
+    events += [ReplicaEvent("arrived", f"q{number}", 1.7, 1) for number in (1, 2, 3)]
+    _check_replica_events(context, events, Disturbance(0, 1.1, 1.2))
+
+
 @when("a caller sees {answer}")
 def see_answer(context: Context, answer: str) -> None:
     promises = Promises(2)
@@ -59,6 +76,19 @@
     assert problem in context.problems[0], context.problems
 
 
+def _check_replica_events(
+    context: Context, events: list[ReplicaEvent], excuse: Disturbance
+) -> None:
+    """Check events of a replica, also with a disturbance that excuses them."""
+    promises = Promises(2)
+    for number in range(5):
+        delivery = Delivery(0, 1.0 + number, 1.1 + number)
+        promises.record_answer(Answer(f"q{number}", "query", 200, {}, b"", delivery))
+    context.problems = promises.replica_problems({"s1-0": events}, 1.5)
+    promises.disturbances.append(excuse)
+    assert not promises.replica_problems({"s1-0": events}, 1.5)
+
+
 def _query_answer(
     stamps: str, body: bytes = _HIGH + _LOW, request_id: str = "q1"
 ) -> Answer:
--- a/tools/platform_stand_in/fleet.py
+++ b/tools/platform_stand_in/fleet.py
@@ -8,6 +8,7 @@
 from signal import SIGHUP, SIGKILL, SIGTERM
 from subprocess import PIPE, Popen, TimeoutExpired
 from sys import executable
+from threading import Lock
 from time import monotonic, sleep
 from typing import Any, NamedTuple
 
@@ -68,6 +69,8 @@
         self._ports = free_ports(5)
         self.gateways: list[GatewayProcess] = []
         self._replicas: Popen[str] | None = None
+        # Commands and their answers must not mix between threads.
+        self._command_lock = Lock()
         self._configuration_version = 0
         # Folder of the sources that gateways start with from now on; by default those
         # of this program.
@@ -198,9 +201,10 @@
         """Send a command, given as its fields, to the replicas; return their answer."""
         assert self._replicas is not None
         assert self._replicas.stdin is not None and self._replicas.stdout is not None
-        self._replicas.stdin.write(dumps(fields) + "\n")
-        self._replicas.stdin.flush()
-        return loads(self._replicas.stdout.readline())
+        with self._command_lock:
+            self._replicas.stdin.write(dumps(fields) + "\n")
+            self._replicas.stdin.flush()
+            return loads(self._replicas.stdout.readline())
 
     def next_configuration(
         self, shards: Sequence[str], single_services: Sequence[str] = (), **changes: Any
--- a/tools/platform_stand_in/replicas.py
+++ b/tools/platform_stand_in/replicas.py
@@ -11,11 +11,13 @@
 from json import dumps, loads
 from random import Random
 from sys import stdin
-from time import time
+from time import monotonic, time
 from typing import Any, NamedTuple
 
 RECORD_BYTES = 16
 _HEARTBEAT_INTERVAL_SECONDS = 0.5
+# Time for which a replica in mode "refuse" asks for no requests.
+REFUSAL_SECONDS = 1.5
 
 
 class Behaviour(NamedTuple):
@@ -30,6 +32,8 @@
 
         - ok: answers with status 200
         - shed: refuses with status 503 before the request is executed
+        - refuse: the same, and asks for no requests for 1.5 s
+        - leaving: answers, and says that it is leaving
         - error: answers with status 500
         - reset: resets the connection in place of a response
         - silence: sends no response
@@ -62,6 +66,8 @@
         self.in_flight = 0
         # Request id, request line, body size and Deadline header of each request.
         self.received_requests: list[list[Any]] = []
+        # Kind, request id, monotonic time and start time of the run of each event.
+        self.events: list[list[Any]] = []
         self.cancelled = 0
         self.connections = 0
         self._random = Random(name)
@@ -150,6 +156,12 @@
             writer.write(_response(421, {"Instance-Id": self.name}, b""))
             return True
         behaviour = self.behaviour
+        self._record("arrived", request_id)
+        if behaviour.mode == "refuse":
+            self._record("refused", request_id)
+            refusal = {"Not-Executed": "1", "Retry-After": str(REFUSAL_SECONDS)}
+            writer.write(_response(503, refusal, b""))
+            return True
         if behaviour.mode == "shed":
             writer.write(_response(503, {"Not-Executed": "1"}, b""))
             return True
@@ -170,6 +182,15 @@
             self.in_flight -= 1
         return await self._respond(writer, behaviour.mode, request_id)
 
+    def _record(self, kind: str, request_id: str) -> None:
+        self.events.append([kind, request_id, monotonic(), self.born])
+
+    def restart(self) -> None:
+        """Begin a new run under the same name and at the same address."""
+        self.born = int(time() * 1000)
+        self.sequence = 0
+        self.behaviour = self.behaviour._replace(mode="ok")
+
     async def _respond(self, writer: Any, mode: str, request_id: str) -> bool:
         """Send the response of a mode; return whether the connection stays open."""
         headers = {
@@ -180,6 +201,9 @@
         body = b"".join(
             self._random.randbytes(RECORD_BYTES) for _ in range(self.records)
         )
+        if mode == "leaving":
+            headers["Server-Leaving"] = "1"
+            self._record("leaving", request_id)
         match mode:
             case "silence":
                 await asyncio.sleep(3600)
@@ -259,6 +283,8 @@
                         if key in command
                     }
                 )
+            if command.get("restart"):
+                replica.restart()
             if "state" in command:
                 replica.state = command["state"]
             if "announced_port" in command:
@@ -278,6 +304,7 @@
                     "cancelled": replica.cancelled,
                     "connections": replica.connections,
                     "running": replica.in_flight,
+                    "events": replica.events,
                 }
                 for replica in chosen
             },
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -3,6 +3,14 @@
 from threading import Lock
 from typing import Any, NamedTuple
 
+from soak.replica_promises import (
+    Delivery,
+    Disturbance,
+    ReplicaEvent,
+    leaving_problems,
+    refusal_problems,
+)
+
 _RECORD_BYTES = 16
 # A version is in force everywhere this long after its acknowledgement.
 _CONFIG_APPLY_SECONDS = 3.0
@@ -10,13 +18,20 @@
 
 
 class Answer(NamedTuple):
-    """A caller's request and what it got; status 0 stands for no response."""
+    """A caller's request and what it got; status 0 stands for no response.
+
+    Parameters
+    ----------
+    delivery
+        Gateway and times of the request.
+    """
 
     request_id: str
     kind: str
     status: int
     headers: dict[str, str]
     body: bytes
+    delivery: Delivery = Delivery(0, 0.0, 0.0)
 
 
 class ConfigRead(NamedTuple):
@@ -41,6 +56,7 @@
         self.answers: list[Answer] = []
         self.reads: list[ConfigRead] = []
         self.acknowledged: list[ConfigRead] = []
+        self.disturbances: list[Disturbance] = []
 
     def record_answer(self, answer: Answer) -> None:
         """Record a caller's answer; called from the threads of callers."""
@@ -67,6 +83,29 @@
                 found += self._once_problems(answer, runs, arrived)
         return found + self._config_problems()
 
+    def replica_problems(
+        self, events: dict[str, list[ReplicaEvent]], retry_after: float
+    ) -> list[str]:
+        """Return the broken promises to replicas that leave or refuse.
+
+        Parameters
+        ----------
+        events
+            What each replica did, in order.
+        retry_after
+            Seconds for which a replica that refuses asks for no requests.
+        """
+        deliveries = {answer.request_id: answer.delivery for answer in self.answers}
+        found: list[str] = []
+        for replica, of_replica in events.items():
+            found += leaving_problems(
+                replica, of_replica, deliveries, self.disturbances
+            )
+            found += refusal_problems(
+                replica, of_replica, deliveries, self.disturbances, retry_after
+            )
+        return found
+
     def _query_problems(
         self, answer: Answer, arrived: dict[str, list[list[Any]]]
     ) -> list[str]:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -13,8 +13,10 @@
 from typing import NamedTuple
 
 from platform_stand_in.fleet import HOST, PlatformFleet
+from platform_stand_in.replicas import REFUSAL_SECONDS
 from soak.link_proxy import LinkProxies, LinkState
 from soak.promises import Answer, ConfigRead, Promises
+from soak.replica_promises import DRAIN_SECONDS, Delivery, Disturbance, ReplicaEvent
 
 _GATEWAYS = 5
 _DISKS = 3
@@ -25,7 +27,16 @@
 # The platform kills a process this long after SIGTERM.
 _GRACE_SECONDS = 6.0
 _RECOVERY_SECONDS = 15.0
-_REPLICA_FAULTS = ("shed", "error", "reset", "silence", "extra", "unframed", "cut")
+_REPLICA_FAULTS = (
+    "shed",
+    "refuse",
+    "error",
+    "reset",
+    "silence",
+    "extra",
+    "unframed",
+    "cut",
+)
 _LINK_FAULTS = ("delay", "reset", "silent", "one_way")
 
 
@@ -74,6 +85,17 @@
             replicas = fleet.send_command()["replicas"]
             arrived = {name: state["arrived"] for name, state in replicas.items()}
             problems += self._promises.problems(arrived)
+            events = {
+                name: [ReplicaEvent(*event) for event in state["events"]]
+                for name, state in replicas.items()
+            }
+            problems += self._promises.replica_problems(events, REFUSAL_SECONDS)
+            self._counts["told leaving"] = sum(
+                event.kind == "leaving" for of in events.values() for event in of
+            )
+            self._counts["refused"] = sum(
+                event.kind == "refused" for of in events.values() for event in of
+            )
             return SoakReport(problems + self._log_problems(), dict(self._counts))
         finally:
             fleet.stop()
@@ -102,6 +124,7 @@
             self._reload,
             self._harm_replica,
             self._harm_replica,
+            self._let_replica_leave,
             self._harm_link,
             self._harm_link,
             self._change_configuration,
@@ -118,6 +141,7 @@
             fault = self._random.choice(faults)
             harmless = (
                 self._harm_replica,
+                self._let_replica_leave,
                 self._harm_link,
                 self._reload,
                 self._change_configuration,
@@ -138,7 +162,7 @@
         """End all faults; return a problem if the fleet does not serve in time."""
         for name in self._links.ports:
             self._links.change(name, LinkState())
-        self._fleet.send_command(mode="ok")
+        self._fleet.send_command(restart=True)
         try:
             self._fleet.wait_serving(len(_SHARDS))
         except AssertionError as error:
@@ -167,10 +191,13 @@
         self._restart(number)
 
     def _pause(self) -> None:
-        process = self._fleet.gateways[self._random.randrange(_GATEWAYS)].process
+        number = self._random.randrange(_GATEWAYS)
+        process = self._fleet.gateways[number].process
+        started_at = monotonic()
         process.send_signal(SIGSTOP)
         sleep(self._random.uniform(*_LOST_FOR))
         process.send_signal(SIGCONT)
+        self._promises.disturbances.append(Disturbance(number, started_at, monotonic()))
 
     def _lose_disk(self) -> None:
         number = self._random.randrange(_DISKS)
@@ -192,6 +219,20 @@
         mode = self._random.choice((*_REPLICA_FAULTS, "ok", "ok"))
         self._fleet.send_command(names=[name], mode=mode)
 
+    def _let_replica_leave(self) -> None:
+        """Let the first replica of a service say that it leaves, and restart later.
+
+        The other two are never told to, so that the service goes on.
+        """
+        name = f"{self._random.choice((*_SHARDS, _SERVICE))}-0"
+        self._fleet.send_command(names=[name], mode="leaving")
+
+        def restart() -> None:
+            self._ended.wait(DRAIN_SECONDS + 2)
+            self._fleet.send_command(names=[name], restart=True)
+
+        Thread(target=restart, daemon=True).start()
+
     def _harm_link(self) -> None:
         name = self._random.choice(list(self._links.ports))
         mode = self._random.choice((*_LINK_FAULTS, "pass", "pass"))
@@ -203,6 +244,9 @@
 
     def _end_process(self, number: int, signal: int) -> None:
         process = self._fleet.gateways[number].process
+        # The restart that follows lets the gateway forget what replicas have said.
+        ended_at = monotonic() + 2 * _GRACE_SECONDS
+        self._promises.disturbances.append(Disturbance(number, monotonic(), ended_at))
         process.send_signal(signal)
         process.wait(2 * _GRACE_SECONDS)
         if signal == SIGTERM and process.returncode != 0:
@@ -237,7 +281,10 @@
                 self._fleet.gateways[number].front_port,
                 timeout=4,
             )
+            sent_at = monotonic()
             answer = _send(connection, kind, path, request_id)
+            answered_at = monotonic() if answer.status else 0.0
+            answer = answer._replace(delivery=Delivery(number, sent_at, answered_at))
             self._promises.record_answer(answer)
             self._counts[f"{kind} {answer.status}"] += 1
             if answer.status and answer.headers.get("connection") != "close":
