Bound deadlines, numbers of targets' announcements and settings

Cause: reading the decoders beside the one that reads the replicas' notices showed three more places where one odd entry gets through. A caller's Deadline of 31 digits ended the task of its request without an answer (OverflowError), and one of 5,000 digits too. A target's announcement with a number of 31 digits was accepted, and the message that passes it on to the other entry instances could not be encoded, again and again. A gateway's settings file with 1e300, or nested 5,000 deep, ended the process at its start or at SIGHUP.

Change: deadlines of more than 8 digits state no limit, and one of more than twice the route's limit does not count for the time that callers spend; announcements are checked by range and for an IPv4 host, with the function that notices use; all exceptions of the settings decoder are typed failures.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -44,6 +44,13 @@
       | slots        | 0               | 400    | bad_announcement   |
       | connections  | -1              | 400    | bad_announcement   |
       | sequence     | -1              | 400    | bad_announcement   |
+      | sequence     | 1000000000000000000000000000000 | 400 | bad_announcement |
+      | incarnation  | 1000000000000000000000000000000 | 400 | bad_announcement |
+      | in_flight    | 1000000000000000000000000000000 | 400 | bad_announcement |
+      | queued       | -1              | 400    | bad_announcement   |
+      | host         | "::1"           | 400    | bad_announcement   |
+      | holdings     | [{"version": 1000000000000000000000000000000, "layout": "mod", "shards": 2, "shard": 0}] | 400 | bad_announcement |
+      | holdings     | [{"version": 1, "layout": "", "shards": 2, "shard": 0}] | 400 | bad_announcement |
       | connect_cost_ms | -1           | 400    | bad_announcement   |
       | slots        | "many"          | 400    | malformed_request  |
       | holdings     | [{"version": 1, "layout": "mod", "shards": 2, "shard": 2}]  | 400 | bad_announcement |
--- a/features/gathering.feature
+++ b/features/gathering.feature
@@ -53,6 +53,17 @@
       | 750  | 20   | 27    |
       | 690  | 70   | 77    |
 
+  Scenario: A caller with an odd deadline
+    Guards against one caller's deadline of a day, after which the time of all others
+    counts as spent.
+    Given 10 shards with 3 replicas each
+    And all replicas of 1 shards are silent
+    And callers state that they have 800 ms left
+    And callers state that they have 86400000 ms left
+    When a caller with 780 ms left sends a query
+    Then the answer includes 9 shards and states 1 missing
+    And it is sent between 50 and 57 ms after the query
+
   Scenario: A caller that has less time left than others
     Guards against a short timeout of some callers that counts as time spent for ever.
     Given 10 shards with 3 replicas each
--- a/features/platform_formats.feature
+++ b/features/platform_formats.feature
@@ -17,6 +17,8 @@
       | an address has no port       | nowhere   |
       | the grace period is a string | GraceS    |
       | a line is malformed          | line      |
+      | the grace period is 1e300    | too large |
+      | a list is nested 5,000 deep  | recursion |
 
   Scenario: A gateway does not start with an invalid settings file
     Guards against a crash without an error message.
@@ -32,6 +34,35 @@
     Then method, request target, host and end-to-end headers are unchanged
     And the deadline is the remaining time and the replica is named once
 
+  Scenario Outline: An odd deadline of a caller
+    Guards against a caller that gets no answer, because its deadline ends the task that
+    reads the request: a duration cannot hold 10^30 ms, nor an integer 5,000 digits.
+    When a caller's request has the deadline <deadline>
+    Then its time left is <time> ms
+
+    Examples:
+      | deadline     | time     |
+      | 99999999     | 99999999 |
+      | 31 digits    | no       |
+      | 5,000 digits | no       |
+      | -5           | no       |
+      | 1e3          | no       |
+
+  Scenario Outline: The capacity of a machine
+    Guards against callers at an instance whose settings state no, or an impossible,
+    capacity, as if its machine were fast.
+    Given the settings file of a gateway
+    When its limits are a share of <share>, a speed of <speed> and <link> Mbit/s
+    Then its capacity is <capacity>
+
+    Examples:
+      | share | speed | link | capacity           |
+      | 0.688 | 2     | 70.0 | 1.376 and 70 Mbit/s |
+      | 0.516 | 1     | 7    | 0.516 and 7 Mbit/s |
+      | 0.516 | 1     | 0    | unknown            |
+      | 0.516 | 1     | nan  | unknown            |
+      | 0.516 | 1     | inf  | unknown            |
+
   Scenario: Responses of replicas
     Guards against a refusal that counts as a request that may have run, an encoded
     response that counts as a success, and a malformed load report that is used.
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -1,6 +1,7 @@
 """Steps that send invalid input."""
 
 from datetime import timedelta
+from json import dumps
 from socket import create_connection
 from subprocess import run
 from sys import executable
@@ -13,12 +14,17 @@
 from expression import Result
 from fleet import free_ports
 from hypothesis import given as given_data, settings, strategies
-from msgspec.json import decode, encode
+from msgspec.json import decode
 from prometheus_client import REGISTRY
 from zmq import DEALER, Context as ZmqContext
 
 from lovagetray import Address, SystemClock
-from lovagetray._peer_messages import Envelope, NoticesSeen
+from lovagetray._peer_messages import (
+    AgedAnnouncement,
+    Announced,
+    Envelope,
+    NoticesSeen,
+)
 from lovagetray._types import InstanceId
 from lovagetray.wire import (
     PeerTransport,
@@ -84,7 +90,7 @@
 def send_invalid_announcements(context: Context) -> None:
     for row in context.table:
         changed = {**_VALID_ANNOUNCEMENT, row["field"]: decode(row["value"])}
-        status, error = _post(context, "/v1/announce", encode(changed))
+        status, error = _post(context, "/v1/announce", _encode(changed))
         assert status == int(row["status"]), (row, status, error)
         assert error["code"] == row["code"], (row, error)
 
@@ -106,7 +112,7 @@
 
     @settings(max_examples=300, deadline=None, derandomize=True)
     @given_data(
-        strategies.binary() | json_values.map(encode),
+        strategies.binary() | json_values.map(_encode),
         strategies.sampled_from(kinds),
         strategies.lists(strategies.binary(), max_size=5),
     )
@@ -118,7 +124,29 @@
         assert isinstance(decode_envelope([body, kind, compressed]), Result)
         assert isinstance(decode_envelope(frames), Result)
 
+    integers = strategies.sampled_from([-1, 0, 5, 2**31, 2**63, 2**64, 10**30])
+    texts = strategies.sampled_from(["", "ready", "::1", "1.2.3.4", "x" * 300])
+
+    @settings(max_examples=500, deadline=None, derandomize=True)
+    @given_data(
+        strategies.dictionaries(
+            strategies.sampled_from(sorted(_VALID_ANNOUNCEMENT)), integers | texts
+        ),
+        strategies.lists(strategies.tuples(integers, texts, integers, integers)),
+    )
+    def check_relayed(changes: dict[str, object], holdings: list[tuple]) -> None:
+        names = ("version", "layout", "shards", "shard")
+        listed = [dict(zip(names, holding)) for holding in holdings]
+        body = _encode(_VALID_ANNOUNCEMENT | {"holdings": listed} | changes)
+        match decode_announcement(body):
+            case Result(tag="ok", ok=announcement):
+                # What is accepted must be fit to be sent to other instances.
+                item = AgedAnnouncement(announcement, timedelta(0))
+                envelope = Envelope(InstanceId("entry-1", "1"), Announced((item,)))
+                assert decode_envelope(encode_envelope(envelope)).ok == envelope
+
     check_decoders()
+    check_relayed()
 
 
 @given("a settings file")
@@ -229,3 +257,8 @@
         "lovagetray_task_failures_total", {"task": "peer_message"}
     )
     return count or 0.0
+
+
+def _encode(document: object) -> bytes:
+    """Return a document as JSON; its numbers may be of any size."""
+    return dumps(document).encode()
--- a/features/steps/platform_format_steps.py
+++ b/features/steps/platform_format_steps.py
@@ -14,7 +14,7 @@
 from expression import Result
 from hypothesis import given as given_data, settings, strategies
 
-from lovagetray._types import Address
+from lovagetray._types import Address, InstanceCapacity
 from lovagetray.platform.formats import (
     decode_document,
     decode_notice,
@@ -111,6 +111,17 @@
     _replace(context.path, "GraceS = 6", 'GraceS = "soon"')
 
 
+@when("the grace period is 1e300 in it")
+def set_endless_grace(context: Context) -> None:
+    _replace(context.path, "GraceS = 6", "GraceS = 1e300")
+
+
+@when("a list is nested 5,000 deep in it")
+def nest_list(context: Context) -> None:
+    nested = "[" * 5000 + "]" * 5000
+    _replace(context.path, 'Unheard = "of"', f"Unheard = {nested}")
+
+
 @when("a line is malformed in it")
 def break_line(context: Context) -> None:
     _replace(context.path, "[Bounds]", "[Bounds")
@@ -191,6 +202,43 @@
     assert b"i-forged" not in context.sent and b"Deadline: 800" not in context.sent
 
 
+@when("a caller's request has the deadline {deadline}")
+def set_deadline(context: Context, deadline: str) -> None:
+    match deadline.split():
+        case [digits, "digits"]:
+            value = b"9" * int(digits.replace(",", ""))
+        case _:
+            value = deadline.encode()
+    headers = ((b"Host", b"h"), (b"Deadline", value))
+    context.request = decode_request(RawRequest(b"GET", b"/a", headers, b""))
+
+
+@then("its time left is {milliseconds} ms")
+def check_time_left(context: Context, milliseconds: str) -> None:
+    expected = (
+        None if milliseconds == "no" else timedelta(milliseconds=int(milliseconds))
+    )
+    assert context.request.time_left == expected, context.request.time_left
+
+
+@when("its limits are a share of {share}, a speed of {speed} and {link} Mbit/s")
+def set_limits(context: Context, share: str, speed: str, link: str) -> None:
+    limits = f"[Limits]\nCpuShare = {share}\nCpuCores = {speed}\nLinkMbps = {link}\n"
+    context.path.write_text(context.path.read_text() + limits)
+
+
+@then("its capacity is {capacity}")
+def check_capacity(context: Context, capacity: str) -> None:
+    found = read_settings(context.path).ok.capacity
+    match capacity.split():
+        case ["unknown"]:
+            assert found is None, found
+        case [cores, "and", link, "Mbit/s"]:
+            assert found == InstanceCapacity(float(cores), float(link)), found
+        case unreadable:
+            raise AssertionError(unreadable)
+
+
 @then("a response with Not-Executed or 421 proves that the request did not run")
 def check_not_run(context: Context) -> None:
     assert decode_reply(503, ((b"Not-Executed", b"1"),), b"").not_run
@@ -313,9 +361,23 @@
     def check_reply(status: int, raw_headers: Any) -> None:
         assert decode_reply(status, raw_headers, b"").status == status
 
+    caller_names = strategies.sampled_from(
+        (b"Deadline", b"Host", b"Request-Id", b"Connection", b"X")
+    )
+    digits = strategies.integers(0, 10**40).map(lambda number: b"%d" % number)
+    caller_headers = strategies.lists(
+        strategies.tuples(caller_names, strategies.binary() | digits)
+    )
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given_data(caller_headers.map(tuple))
+    def check_request(raw_headers: Any) -> None:
+        decode_request(RawRequest(b"GET", b"/a", raw_headers, b""))
+
     check_notice()
     check_document()
     check_reply()
+    check_request()
 
 
 def _replace(path: Path, old: str, new: str) -> None:
--- a/src/lovagetray/platform/_caller_handler.py
+++ b/src/lovagetray/platform/_caller_handler.py
@@ -42,6 +42,9 @@
 )
 # Headers that the gateway sets for each replica instead of forwarding the caller's.
 _REPLICA_HEADERS = frozenset((b"deadline", b"expect-instance"))
+# Times of more digits, in milliseconds, are over a day; a caller with one has no limit
+# of its own. Unlimited ones would exceed what a duration can hold.
+_MAX_DEADLINE_DIGITS = 8
 # A gateway has a routing document within a second of its start.
 _NOT_STARTED_RETRY_AFTER = timedelta(milliseconds=500)
 
@@ -78,8 +81,8 @@
                 request_id = value.decode("latin-1")
             case b"host":
                 host = value.decode("latin-1").split(":", 1)[0].lower()
-            case b"deadline" if value.strip().isdigit():
-                time_left = timedelta(milliseconds=int(value))
+            case b"deadline":
+                time_left = _decode_time_left(value.strip())
             case b"connection":
                 excluded.update(option.strip().lower() for option in value.split(b","))
     excluded |= _REPLICA_HEADERS
@@ -94,6 +97,13 @@
     )
 
 
+def _decode_time_left(value: bytes) -> timedelta | None:
+    """Return the time in a ``Deadline`` header, or None if it states no limit."""
+    if not value.isdigit() or len(value) > _MAX_DEADLINE_DIGITS:
+        return None
+    return timedelta(milliseconds=int(value))
+
+
 def _encode_gathered_answer(answer: GatheredAnswer) -> RawResponse:
     response_ids = ", ".join(answer.response_ids).encode("latin-1")
     headers = (
--- a/src/lovagetray/platform/_settings.py
+++ b/src/lovagetray/platform/_settings.py
@@ -76,7 +76,14 @@
     try:
         file = convert(loads(path.read_text()), _SettingsFile)
         return Ok(_to_gateway_settings(file))
-    except (OSError, TOMLDecodeError, ValidationError, ValueError) as error:
+    except (
+        OSError,
+        TOMLDecodeError,
+        ValidationError,
+        ValueError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         problem = SettingProblem(
             str(path), "", "", str(error), "valid settings of a gateway process"
         )
--- a/src/lovagetray/queries/load_balancing/_load_balancer.py
+++ b/src/lovagetray/queries/load_balancing/_load_balancer.py
@@ -20,6 +20,9 @@
 # A hedge is sent early enough for an answer that takes this many mean latencies; the
 # replica with the second lowest cost is slower than the mean.
 _HEDGED_ANSWER_LATENCIES = 1.5
+# A caller that waits for more than this many time limits of the route says nothing of
+# the time that others have spent.
+_MAX_TIME_LEFT_FACTOR = 2
 # Shorter delays cannot be distinguished from scheduling delays.
 _MIN_HEDGE_DELAY = timedelta(milliseconds=5)
 
@@ -87,7 +90,7 @@
         time_left
             Time that the caller has left; None if it does not state it.
         """
-        if time_left is None:
+        if time_left is None or time_left > route.time_limit * _MAX_TIME_LEFT_FACTOR:
             return timedelta(0)
         return self.route_stats(route).time_spent(time_left)
 
--- a/src/lovagetray/wire/_target_json.py
+++ b/src/lovagetray/wire/_target_json.py
@@ -1,7 +1,6 @@
 """JSON bodies and HTTP headers of the target interface."""
 
 from datetime import timedelta
-from ipaddress import ip_address
 from typing import TypedDict
 
 from expression import Error, Ok, Result
@@ -29,6 +28,7 @@
     SubReply,
     SubRequest,
     TargetState,
+    is_host_address,
 )
 from lovagetray.state import InstanceRecord
 from lovagetray.wire._http import HttpResponse
@@ -88,6 +88,9 @@
 _MAX_SHARDS = 100_000
 _MAX_HOLDINGS = 1_000
 _MAX_NAME_LENGTH = 200
+# Larger numbers cannot be sent to other instances.
+_MAX_INTEGER = 2**63 - 1
+_MAX_REPORTED_REQUESTS = 1_000_000
 _REFUSAL_CODES = frozenset({"shed", "draining", "starting"})
 
 
@@ -106,12 +109,8 @@
 
 
 def _find_problem(document: AnnouncementDocument) -> BadAnnouncement | None:
-    try:
-        host = ip_address(document["host"])
-    except ValueError:
-        return BadAnnouncement("host", "an IP address")
-    if host.is_multicast or host.is_unspecified:
-        return BadAnnouncement("host", "the IP address of one host")
+    if not is_host_address(document["host"]):
+        return BadAnnouncement("host", "the IPv4 address of one host")
     if not 1 <= document["port"] <= 65535:
         return BadAnnouncement("port", "from 1 to 65535")
     if document["state"] not in {state.value for state in TargetState}:
@@ -125,11 +124,19 @@
         return BadAnnouncement("connections", "from 1 to 100000")
     if not 0 <= document["connect_cost_ms"] <= 60_000:
         return BadAnnouncement("connect_cost_ms", "from 0 to 60000")
-    if document["incarnation"] < 0 or document["sequence"] < 0:
-        return BadAnnouncement("sequence", "zero or more")
+    for number in ("incarnation", "sequence"):
+        if not 0 <= document[number] <= _MAX_INTEGER:
+            return BadAnnouncement(number, "from 0 to 2^63 - 1")
+    for count in ("in_flight", "queued"):
+        if not 0 <= document[count] <= _MAX_REPORTED_REQUESTS:
+            return BadAnnouncement(count, f"from 0 to {_MAX_REPORTED_REQUESTS}")
     if len(document["holdings"]) > _MAX_HOLDINGS:
         return BadAnnouncement("holdings", f"at most {_MAX_HOLDINGS} long")
     for holding in document["holdings"]:
+        if not 0 <= holding["version"] <= _MAX_INTEGER:
+            return BadAnnouncement("version", "from 0 to 2^63 - 1")
+        if not 1 <= len(holding["layout"]) <= _MAX_NAME_LENGTH:
+            return BadAnnouncement("layout", f"1 to {_MAX_NAME_LENGTH} characters long")
         if not 1 <= holding["shards"] <= _MAX_SHARDS:
             return BadAnnouncement("shards", f"from 1 to {_MAX_SHARDS}")
         if not 0 <= holding["shard"] < holding["shards"]:
