Tell an instance whose seeds are no relays who the relays are

Cause: after the seeds were exchanged, a diskless instance that started had three seeds that are no relays. It sent them heartbeats, but a subscriber does not talk to another subscriber, so it met nobody: no relay, no log, not ready for good. An instance also kept exchanged seeds as peers for ever and sent each a heartbeat every 100 ms once it had not been heard for 30 s.

Change: an instance that is no relay answers heartbeats of another one with the records of the relays, at most every 300 ms. They count if none of the voters in the log, if any, was heard for 5 s. Seeds are no longer peers once a relay is heard.

--- a/features/steps/relay_process_steps.py
+++ b/features/steps/relay_process_steps.py
@@ -46,6 +46,23 @@
     _drain_through(context, number, f"{_SHARDS[1]}-2")
 
 
+@when("gateway {number:d} starts again with gateways {seeds}, no relays, as its seeds")
+def restart_with_seeds(context: Context, number: int, seeds: str) -> None:
+    fleet = context.fleet
+    numbers = [int(seed) for seed in seeds.replace(" and ", ", ").split(", ")]
+    assert not any(_is_relay(context, seed) for seed in numbers)
+    _kill(context, number)
+    hosts = [f"127.0.1.{seed + 1}" for seed in numbers]
+    fleet.start_gateway(number, disk=False, first_start=False, seeds=hosts)
+
+
+@then("gateway {number:d} answers a query with 4 parts")
+def check_answers(context: Context, number: int) -> None:
+    context.fleet.wait_until(
+        lambda: _parts(context.fleet, number) == len(_SHARDS), timeout=15
+    )
+
+
 @when("a listed gateway that is no relay is killed")
 def kill_listed(context: Context) -> None:
     listed = _listed(context.fleet, 0)
--- a/src/lovagetray/gateway/_instances.py
+++ b/src/lovagetray/gateway/_instances.py
@@ -1,5 +1,6 @@
 """The instances that a gateway exchanges messages with, and which are live."""
 
+from collections.abc import Collection
 from datetime import timedelta
 from random import Random
 from typing import NamedTuple
@@ -42,6 +43,12 @@
 _TOPOLOGY_INTERVAL = timedelta(seconds=1)
 _STARTUP_DURATION = timedelta(seconds=10)
 _GOSSIP_INTERVAL = timedelta(seconds=1)
+# With no relay heard for this long, the seeds and the relays that other instances name
+# are tried as well. Subscribers hear their relay every 500 ms.
+_RELAY_LOST_TIMEOUT = timedelta(seconds=5)
+# Shortest time between two referrals of the same instance, which may send heartbeats
+# every 100 ms until it has found a relay.
+_REFERRAL_INTERVAL = timedelta(milliseconds=300)
 
 
 class RelayTransport(NamedTuple):
@@ -78,6 +85,9 @@
         self.relays = Relays(settings.name)
         # Largest number of instances that another one knows.
         self._fleet_size = 1
+        # The relays as an instance that is none has named them.
+        self._referred_relays: frozenset[str] = frozenset()
+        self._referred_at: dict[str, timedelta] = {}
         self.members = Members(
             _own_record(settings, random),
             _FAILURE_TIMEOUT,
@@ -155,6 +165,11 @@
                 await self._receive_record(record, capacity, now)
             case KnownInstances(records=records, total=total):
                 self._fleet_size = max(self._fleet_size, total, len(records))
+                if records and total > MAX_MESH_INSTANCES:
+                    # An instance of a large fleet names the relays only.
+                    self._referred_relays = frozenset(
+                        record.instance.name for record in records
+                    )
                 self._update_relays()
                 if total < self._total():
                     # The first message to a new instance is often lost, as the
@@ -202,10 +217,14 @@
     def _update_relays(self) -> None:
         was_relay = self.relays.is_relay
         known = {known.record.instance.name for known in self._known()}
+        voters = frozenset(self._agreement.voters.names)
+        if self._referred_relays and not self._hears_any(voters):
+            # Nothing is known of the voters, or all of them were replaced.
+            voters = self._referred_relays
         self.relays.update(
             relay_names(
                 known | {self._name},
-                self._agreement.voters.names,
+                voters,
                 [str(seed) for seed in self._seeds],
                 self._is_mesh(),
             )
@@ -235,6 +254,27 @@
             await self.peers.send(name, self._known_instances())
             if name in self.relays.names:
                 await self._replica_gossip.request_missing(name)
+        if not self.relays.is_relay and name not in self.relays.names:
+            await self._refer(name, record.peer_address, now)
+
+    async def _refer(self, name: str, address: Address, now: timedelta) -> None:
+        """Tell an instance that has this one as its seed who the relays are.
+
+        The connection to it is closed again when the peers are adjusted. It asks again
+        with its next heartbeat, in case the message was lost.
+        """
+        self._referred_at = {
+            other: at
+            for other, at in self._referred_at.items()
+            if now - at < _REFERRAL_INTERVAL
+        }
+        if name in self._referred_at:
+            return
+        self._referred_at[name] = now
+        records = map(self.members.record, sorted(self.relays.names))
+        found = tuple(record for record in records if record is not None)
+        await self.add_peer(name, address)
+        await self.peers.send(name, KnownInstances(found, self._total()))
 
     async def _meet(self, name: str, address: Address) -> None:
         """Exchange messages with an instance if one of both is a relay."""
@@ -251,10 +291,20 @@
         for name in self.relays.others:
             await self.add_peer(name, Address.parse(name))
         if not self.relays.is_relay:
-            seeds = {str(seed) for seed in self._seeds}
-            for name in set(self.peers.names) - self.relays.names - seeds:
+            needed = set(self.relays.names)
+            if not self._hears_any(needed):
+                needed |= {str(seed) for seed in self._seeds}
+            for name in set(self.peers.names) - needed:
                 await self.peers.remove(name)
 
+    def _hears_any(self, names: Collection[str]) -> bool:
+        """Return whether any of the other instances of some names was heard lately."""
+        return any(
+            self._time_since_heard(name) < _RELAY_LOST_TIMEOUT
+            for name in names
+            if name != self._name
+        )
+
     def _is_mesh(self) -> bool:
         """Return whether all instances exchange messages with each other."""
         return self._total() <= MAX_MESH_INSTANCES
