--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -608,6 +608,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         deployment = Deployment(folder, **options)
         deployment.record(f"disruption: {'yes' if trouble else 'no'}")
         try:
@@ -616,7 +618,7 @@
                 "the rule held" if held else "the rule was broken"
             )
             return 0 if held else 1
-        except (CannotRun, asyncio.TimeoutError) as error:
+        except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError) as error:
             deployment.record.verdict(f"could not run: {error!r}")
             return 2
         finally:
