Answer all requests that a stopping gateway has accepted

Cause: the stop accepted requests until 2 s before the kill, whatever they could still take in a replica's queue or on a cold replica, and cancelled those in flight at the end. A connection that was open before the stop and carried no request yet was left to the last with the same end. Ruled out: the signal being handled late (the record shows requests read and passed on in time), and the writing of answers (no replica had answered).

Change: a request that arrives during the stop is passed on if it can end in time, by its timeout or the longest latency of recent answers of its route, and refused as not run otherwise. A connection without a request counts as busy for 1 s only.

--- a/features/caller_connection.feature
+++ b/features/caller_connection.feature
@@ -61,6 +61,14 @@
     And while half a request has arrived on one connection and none on another
     Then all 22 requests are answered once they are complete
 
+  Scenario: A server closes while a connection has carried no request
+    Guards against a planned stop that waits until the kill for a connection that nobody
+    uses, and against a first request that is cut because its connection stayed open.
+    Given a server that echoes the path
+    When it closes 1200 ms after a caller has connected without sending a request
+    Then no request counts as running
+    And the connection is closed
+
   Scenario: A server closes while new connections keep coming
     Guards against a planned stop that never gets past the queue of new connections.
     Given a server that echoes the path
--- a/features/fakes/replica_script.py
+++ b/features/fakes/replica_script.py
@@ -18,7 +18,11 @@
     ReplicaState,
 )
 from lovagetray._target_errors import ConnectFailed, ConnectionLost
-from lovagetray.queries.dispatch import DispatchDependencies, RequestEncoder
+from lovagetray.queries.dispatch import (
+    AnswerLimit,
+    DispatchDependencies,
+    RequestEncoder,
+)
 from lovagetray.queries.load_balancing import LoadBalancer, RetryBudget
 from lovagetray.state import ReplicaDirectory
 from lovagetray.targets import Availability, Exchange
@@ -143,7 +147,12 @@
         directory.mark_leaving(ReplicaRun(notice.replica, notice.born))
 
     dependencies = DispatchDependencies(
-        balancer, connection_pool, encoder, clock, report_leaving  # type: ignore
+        balancer,
+        connection_pool,  # type: ignore
+        encoder,
+        clock,
+        report_leaving,
+        AnswerLimit(),
     )
     return DispatchHarness(directory, connection_pool, dependencies, balancer)
 
--- a/features/gateway_processes.feature
+++ b/features/gateway_processes.feature
@@ -38,6 +38,25 @@
     Then every request that it accepted was answered
     And it exits within 6 s with exit code 0
 
+  Scenario: A planned stop while replicas are slow
+    Guards against requests that a stopping gateway passes on although they cannot end
+    before it is killed, and cuts: those read 3 to 4 s after SIGTERM were cut at 5.8 s
+    (review/4).
+    Given 3 gateways, 4 shards and a service
+    And the service works for 2600 ms
+    When callers send requests to a gateway that receives SIGTERM
+    Then every request that it accepted got a complete answer
+    And none that ran was refused
+    And it exits within 6 s with exit code 0
+
+  Scenario: A connection is used for the first time at the end of a planned stop
+    Guards against a first request that is passed on and cut because its connection, open
+    since before the stop, was left to the last.
+    Given 3 gateways, 4 shards and a service
+    And the service works for 2600 ms
+    When a gateway receives SIGTERM and a connection that was open before is used after 3.5 s
+    Then its request got a complete answer
+
   Scenario: All gateways are killed at once
     Guards against an acknowledged configuration that is gone after a restart.
     Given 3 gateways, 4 shards and a service
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -32,6 +32,7 @@
         self.address = Address("127.0.0.1", free_ports(1)[0])
         self.requests: list[RawRequest] = []
         self.cancelled = Event()
+        self.running_requests = 0
         self._work_seconds = work_seconds
         self._stop_requested = Event()
         self._commands: list[str] = []
@@ -75,6 +76,7 @@
                         self._fail_to_accept(server, 3)
                     case _:
                         await server.close()
+                self.running_requests = server.running_requests
                 self._commands.pop()
         await task.cancel()
 
@@ -156,6 +158,28 @@
     context.server.waiting += [context.half, context.fresh]
 
 
+@when(
+    "it closes {milliseconds:d} ms after a caller has connected without sending a "
+    "request"
+)
+def close_with_unused(context: Context, milliseconds: int) -> None:
+    context.caller = _connect(context)
+    sleep_thread(milliseconds / 1000)
+    context.server.send_command("close")
+
+
+@then("no request counts as running")
+def check_none_running(context: Context) -> None:
+    assert context.server.running_requests == 0
+
+
+@then("the connection is closed")
+def check_unused_closed(context: Context) -> None:
+    with context.caller as caller:
+        caller.settimeout(5)
+        assert caller.recv(1000) == b""
+
+
 @when("it closes while callers go on connecting")
 def close_while_connecting(context: Context) -> None:
     stop = Event()
--- a/features/steps/gateway_process_steps.py
+++ b/features/steps/gateway_process_steps.py
@@ -210,6 +210,7 @@
     fleet = context.fleet
     context.interrupted = []
     context.answered = []
+    context.statuses = {}
 
     def call(caller: int) -> None:
         end = monotonic() + 7
@@ -228,7 +229,9 @@
                 sleep(0.05)
                 continue
             try:
-                context.answered.append(connection.getresponse().status)
+                status = connection.getresponse().status
+                context.answered.append(status)
+                context.statuses[headers["Request-Id"]] = status
             except (OSError, HTTPException) as error:
                 context.interrupted.append((headers["Request-Id"], repr(error)))
             finally:
@@ -254,6 +257,50 @@
     assert set(context.answered) == {200}, context.answered
 
 
+@then("every request that it accepted got a complete answer")
+def check_all_complete(context: Context) -> None:
+    arrived = _arrived(context.fleet)
+    lost = [(name, error) for name, error in context.interrupted if name in arrived]
+    assert not lost, lost
+    assert len(context.answered) > 10, context.answered
+
+
+@then("none that ran was refused")
+def check_none_refused(context: Context) -> None:
+    ran = _arrived(context.fleet)
+    refused = [name for name, status in context.statuses.items() if status == 503]
+    assert not ran & set(refused), ran & set(refused)
+
+
+@when(
+    "a gateway receives SIGTERM and a connection that was open before is used after "
+    "{seconds:g} s"
+)
+def use_late(context: Context, seconds: float) -> None:
+    fleet = context.fleet
+    connection = HTTPConnection("127.0.1.2", fleet.gateways[1].front_port, timeout=9)
+    connection.connect()
+    fleet.terminate(1)
+    sleep(seconds)
+    context.late_status = 0
+    try:
+        headers = {"Host": HOST, "Request-Id": "late-1"}
+        connection.request("GET", f"/{_SERVICE}/1", headers=headers)
+        context.late_status = connection.getresponse().status
+    except (OSError, HTTPException) as error:
+        context.late_error = error
+    finally:
+        connection.close()
+
+
+@then("its request got a complete answer")
+def check_late_answer(context: Context) -> None:
+    # Closing a connection before its request is read is a promise that it did not run.
+    assert context.late_status or "late-1" not in _arrived(
+        context.fleet
+    ), context.late_error
+
+
 @then("it exits within {seconds:d} s with exit code 0")
 def check_stopped_in_time(context: Context, seconds: int) -> None:
     assert context.exit_code == 0
--- a/src/lovagetray/commands/forwarding/_forward.py
+++ b/src/lovagetray/commands/forwarding/_forward.py
@@ -56,7 +56,8 @@
     call = dispatch.calls[0]
     took = clock.monotonic_time() - started_at
     refused_for = dependencies.balancer.refused_for((service,), 1)
-    result = _result_of(call, dispatch, timeout, refused_for)
+    stopped = dependencies.answer_limit.has_passed(clock.monotonic_time())
+    result = _result_of(call, dispatch, timeout, refused_for, stopped)
     _log.info(
         "request_ended",
         request_id=request.request_id,
@@ -84,14 +85,18 @@
 ) -> None:
     while not dispatch.settled:
         now = dependencies.clock.monotonic_time()
-        if now >= cutoff_at:
+        if now >= dependencies.answer_limit.earliest(cutoff_at):
             return
         await dispatch.send_due_hedges(now)
         await dispatch.wait(cutoff_at)
 
 
 def _result_of(
-    call: ServiceCall, dispatch: Dispatch, timeout: timedelta, refused_for: timedelta
+    call: ServiceCall,
+    dispatch: Dispatch,
+    timeout: timedelta,
+    refused_for: timedelta,
+    stopped: bool,
 ) -> Result[ReplicaReply, ForwardFailure]:
     if call.reply is not None:
         return Ok(call.reply)
@@ -100,6 +105,8 @@
     if not dispatch.may_have_run:
         retry_after = max(_RETRY_AFTER_REFUSAL, refused_for)
         return Error(RequestNotRun("no replica accepted the request", retry_after))
+    if call.in_flight and stopped:
+        return Error(RequestFailed("this instance has stopped waiting: it is stopping"))
     if call.in_flight:
         return Error(TimeLimitReached(timeout))
     return Error(RequestFailed("the connection to the replica was lost"))
--- a/src/lovagetray/gateway/_dispatcher.py
+++ b/src/lovagetray/gateway/_dispatcher.py
@@ -1,5 +1,6 @@
 """Dispatches a caller's request to the command or query of its route."""
 
+from datetime import timedelta
 from typing import get_args
 
 from expression import Error, Result
@@ -10,17 +11,20 @@
     NoRoute,
     NotStarted,
     RequestFailed,
+    RequestNotRun,
 )
 from lovagetray._routing_types import (
     CallerRequest,
     GatherShards,
     OneService,
     ReplicaReply,
+    Route,
     TrafficSplit,
 )
 from lovagetray._task_failures import report_task_failure
 from lovagetray._telemetry import GATEWAY_SECONDS, GATEWAY_SHARDS
 from lovagetray.commands.forwarding import WeightedRoundRobin, forward
+from lovagetray.gateway._planned_stop import can_be_served
 from lovagetray.queries.dispatch import DispatchDependencies
 from lovagetray.queries.gathering import GatheredAnswer, gather
 from lovagetray.state import RoutingState
@@ -37,6 +41,8 @@
 }
 _SHARDS_INCLUDED = GATEWAY_SHARDS.labels("included")
 _SHARDS_MISSING = GATEWAY_SHARDS.labels("missing")
+# The other instances can serve what this one refuses because it stops.
+_RETRY_ELSEWHERE = timedelta(0)
 
 
 class Dispatcher:
@@ -90,6 +96,8 @@
         route = table.find(request.host, request.path)
         if route is None:
             return Error(NoRoute(request.host))
+        if not self._can_be_served(request, route):
+            return Error(RequestNotRun("this instance is stopping", _RETRY_ELSEWHERE))
         match route.destination:
             case GatherShards() as destination:
                 return await gather(self._dependencies, request, route, destination)
@@ -98,3 +106,16 @@
                 return await forward(self._dependencies, request, route, service)
             case OneService(service=service):
                 return await forward(self._dependencies, request, route, service)
+
+    def _can_be_served(self, request: CallerRequest, route: Route) -> bool:
+        """Return whether a request can be answered before the instance stops."""
+        due_at = self._dependencies.answer_limit.due_at
+        if due_at is None:
+            return True
+        longest = self._dependencies.balancer.route_stats(route).longest
+        return can_be_served(
+            due_at - self._dependencies.clock.monotonic_time(),
+            request.timeout_for(route),
+            route.target_latency,
+            timedelta(seconds=longest),
+        )
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -66,9 +66,10 @@
     GatewayFormats,
 )
 from lovagetray.gateway._listing import Listing
+from lovagetray.gateway._planned_stop import accepting_time, stop_schedule
 from lovagetray.gateway._replica_connections import ReplicaConnections
 from lovagetray.gateway._replicated_log import open_gateway_log
-from lovagetray.queries.dispatch import DispatchDependencies
+from lovagetray.queries.dispatch import AnswerLimit, DispatchDependencies
 from lovagetray.queries.gathering import GatheredAnswer
 from lovagetray.queries.load_balancing import LoadBalancer, RetryBudget
 from lovagetray.queries.routing import AddressList, current_document
@@ -92,13 +93,8 @@
 _EXIT_LOG_STOPPED = 1
 # An instance with a disk serves its stored document if no leader is found by then.
 _CATCH_UP_TIMEOUT = timedelta(seconds=10)
-# Requests are accepted until this long before the kill, so that those in flight can
-# end; the longest run time of a replica is 1.3 s.
-_COMPLETION_TIME = timedelta(seconds=2)
 # Address lists expire this long before their instances stop accepting requests.
 _ADDRESS_LIST_MARGIN = timedelta(milliseconds=500)
-# Time that the process needs to exit before the kill.
-_EXIT_MARGIN = timedelta(milliseconds=200)
 _POLL_INTERVAL = timedelta(milliseconds=50)
 _LEADERSHIP_TRANSFER_TIMEOUT = timedelta(seconds=2)
 
@@ -158,6 +154,7 @@
             clock,
             self._listing.connection_sharers,
         )
+        self._answer_limit = AnswerLimit()
         self._dispatcher: Dispatcher | None = None
 
     @property
@@ -229,9 +226,8 @@
         A list must expire before an instance on it can stop accepting requests, even if
         the stop signal arrives right after the list was sent.
         """
-        max_lifetime = (
-            self._settings.grace_period - _COMPLETION_TIME - _ADDRESS_LIST_MARGIN
-        )
+        max_lifetime = accepting_time(self._settings.grace_period)
+        max_lifetime -= _ADDRESS_LIST_MARGIN
         lifetime = min(self._settings.address_lifetime, max_lifetime)
         return self._listing.addresses(lifetime)
 
@@ -304,6 +300,7 @@
                 self._formats.encode_request,
                 self._clock,
                 self._replica_gossip.report_leaving,
+                self._answer_limit,
             )
             self._dispatcher = Dispatcher(self._routing, dependencies)
             frontend, control_servers = servers(self)
@@ -393,23 +390,32 @@
         """Stop gracefully within the grace period.
 
         The instance leaves the address lists and transfers leadership. It still
-        accepts requests of callers whose address lists include it, and finally waits
-        for the requests in flight.
+        accepts requests of callers whose address lists include it, as far as they can
+        be answered in time, and finally waits for the requests in flight.
         """
         started_at = self._clock.monotonic_time()
+        schedule = stop_schedule(started_at, self._settings.grace_period)
+        await self._answer_limit.begin(schedule.answer_by)
         await self._instances.change_state(InstanceState.LEAVING)
         _log.info("gateway_stopping")
         frontend.drain()
         await self._clock.with_timeout(
             _LEADERSHIP_TRANSFER_TIMEOUT, self._agreement.transfer_leadership()
         )
-        accepting_until = started_at + self._settings.grace_period - _COMPLETION_TIME
-        await self._clock.sleep(accepting_until - self._clock.monotonic_time())
+        await self._clock.sleep(schedule.accept_until - self._clock.monotonic_time())
         await frontend.close()
-        stop_at = started_at + self._settings.grace_period - _EXIT_MARGIN
-        while frontend.running_requests() and self._clock.monotonic_time() < stop_at:
+        while (
+            frontend.running_requests()
+            and self._clock.monotonic_time() < schedule.exit_by
+        ):
             await self._clock.sleep(_POLL_INTERVAL)
-        _log.info("gateway_stopped")
+        _log.info(
+            "gateway_stopped",
+            took_ms=round(
+                (self._clock.monotonic_time() - started_at) / timedelta(milliseconds=1)
+            ),
+            unanswered=frontend.running_requests(),
+        )
 
     async def _reload(self, read: Result[GatewaySettings, InvalidSettings]) -> None:
         match read:
--- a/src/lovagetray/queries/dispatch/_dispatch.py
+++ b/src/lovagetray/queries/dispatch/_dispatch.py
@@ -22,6 +22,7 @@
 )
 from lovagetray._target_errors import ConnectFailed, ConnectionLost, NotSent
 from lovagetray._telemetry import DISPATCH_ATTEMPTS
+from lovagetray.queries.dispatch._answer_limit import AnswerLimit
 from lovagetray.queries.load_balancing import LoadBalancer
 from lovagetray.targets import ConnectionPool, Exchange, Outcome
 
@@ -72,6 +73,8 @@
         Source of monotonic time and timeouts.
     report_leaving
         Called with the notice of a replica whose response states that it is leaving.
+    answer_limit
+        When all requests must be answered because the instance stops.
     """
 
     balancer: LoadBalancer
@@ -79,6 +82,7 @@
     encoder: RequestEncoder
     clock: Clock
     report_leaving: Callable[[ReplicaNotice], Awaitable[None]]
+    answer_limit: AnswerLimit
 
 
 @dataclass(slots=True, eq=False)
@@ -192,7 +196,8 @@
         return any(call.may_have_run or call.in_flight for call in self.calls)
 
     async def start(self) -> None:
-        """Send the first attempt to each service."""
+        """Send the first attempt to each service; `abandon` must follow."""
+        self._dependencies.answer_limit.add(self)
         self._dependencies.balancer.budget.record_requests(
             [call.service for call in self.calls]
         )
@@ -210,7 +215,7 @@
     async def wait(self, until: timedelta, wake_on_any: bool = False) -> None:
         """Wait until a service needs a retry or all are settled, then send retries.
 
-        The wait also ends at `until` or when hedges are due.
+        The wait also ends at `until`, when hedges are due, or when the instance stops.
 
         Parameters
         ----------
@@ -222,12 +227,17 @@
         self._wake_on_any = wake_on_any
         if self._hedge_at is not None:
             until = min(until, self._hedge_at)
+        until = self._dependencies.answer_limit.earliest(until)
         left = until - self._dependencies.clock.monotonic_time()
         if left > timedelta(0) and not self._changed.is_set():
             await self._dependencies.clock.with_timeout(left, self._changed.wait())
         self._changed.clear()
         await self._retry_failed()
 
+    async def wake(self) -> None:
+        """End the current wait, if any."""
+        await self._changed.set()
+
     async def send_due_hedges(self, now: timedelta) -> None:
         """Hedge, once, each service with one attempt in flight if hedges are due."""
         if self._hedge_at is None or now < self._hedge_at:
@@ -241,6 +251,7 @@
 
     async def abandon(self) -> None:
         """Abandon all exchanges in flight; unsent ones are never sent."""
+        self._dependencies.answer_limit.discard(self)
         await self._dependencies.connection_pool.abandon(self._call_of)
         now = self._dependencies.clock.monotonic_time()
         for exchange in [
--- a/src/lovagetray/queries/gathering/_gather.py
+++ b/src/lovagetray/queries/gathering/_gather.py
@@ -106,6 +106,8 @@
         if not _is_sufficient(len(dispatch.calls) - dispatch.exhausted, destination):
             return
         now = dependencies.clock.monotonic_time()
+        if dependencies.answer_limit.has_passed(now):
+            return
         await dispatch.send_due_hedges(now)
         match policy.decide(now, _is_sufficient(dispatch.answered, destination)):
             case AnswerNow():
--- a/src/lovagetray/queries/load_balancing/_stats.py
+++ b/src/lovagetray/queries/load_balancing/_stats.py
@@ -22,6 +22,8 @@
 # Share of the difference by which the longest time left of callers approaches a shorter
 # one, so that it follows callers that wait for less time within some hundred requests.
 _TIME_LEFT_STEP = 0.002
+# The same for the longest latency of recent answers; it halves within 70 shorter ones.
+_LONGEST_STEP = 0.01
 
 
 @dataclass(slots=True)
@@ -133,6 +135,8 @@
     ----------
     mean, upper_quantile
         Mean and upper quantile in seconds.
+    longest
+        Longest latency of recent answers in seconds.
     longest_time_left
         Longest time that callers have left when a request arrives: that of a first
         attempt on an open connection.
@@ -140,6 +144,7 @@
 
     mean: float
     upper_quantile: float
+    longest: float = 0.0
     longest_time_left: timedelta = timedelta(0)
 
     def time_spent(self, time_left: timedelta) -> timedelta:
@@ -158,7 +163,7 @@
         return self.longest_time_left - time_left
 
     def observe(self, seconds: float, quantile: float) -> None:
-        """Update the mean and the quantile with one latency.
+        """Update the mean, the quantile and the longest latency with one latency.
 
         Parameters
         ----------
@@ -168,6 +173,8 @@
             Quantile that `upper_quantile` estimates, from 0 to 1.
         """
         self.mean += 0.05 * (min(seconds, 10 * self.mean) - self.mean)
+        self.longest -= _LONGEST_STEP * (self.longest - seconds)
+        self.longest = max(self.longest, seconds)
         step = _QUANTILE_STEP * self.upper_quantile
         if seconds > self.upper_quantile:
             self.upper_quantile += step * quantile
--- a/src/lovagetray/wire/_caller_server.py
+++ b/src/lovagetray/wire/_caller_server.py
@@ -52,6 +52,9 @@
 _BACKLOG = 1024
 _SWEEP_INTERVAL = timedelta(milliseconds=500)
 _CLOSE_TIMEOUT = timedelta(seconds=1)
+# The first request on a new connection is expected within this time; a server that
+# closes does not wait longer for it.
+_FIRST_REQUEST_TIME = timedelta(seconds=1)
 # Connections that the kernel has already accepted are handed out within this time.
 _BACKLOG_TIMEOUT = timedelta(milliseconds=20)
 # New connections may keep coming, so accepting the queue ends after this time.
@@ -118,7 +121,8 @@
     @property
     def running_requests(self) -> int:
         """The number of requests in flight or being received."""
-        return sum(connection.busy for connection in self._connections)
+        now = self._clock.monotonic_time()
+        return sum(connection.is_busy(now) for connection in self._connections)
 
     def drain(self) -> None:
         """Close each connection after its next response, with ``Connection: close``."""
@@ -139,14 +143,15 @@
     async def close(self) -> None:
         """Stop accepting connections and close those that wait for a next request.
 
-        Requests in flight continue, as do connections that have not carried a request
-        yet, because their first one may be on its way.
+        Requests in flight continue, as do new connections, because their first request
+        may be on its way.
         """
         self._draining = True
         if self._accept_task is not None:
             await self._accept_task.cancel()
+        now = self._clock.monotonic_time()
         for connection in list(self._connections):
-            if not connection.busy:
+            if not connection.is_busy(now):
                 await connection.task.cancel(blocking=False)
 
     async def _accept(self, listener: Any, group: TaskGroup) -> None:
@@ -240,19 +245,17 @@
         self._draining = draining
         self._h11 = Connection(SERVER, max_incomplete_event_size=limits.head_bytes)
         self._request_task: Task | None = None
-        self._waiting_since = clock.monotonic_time()
+        self._opened_at = self._waiting_since = clock.monotonic_time()
         self._receiving = False
         self._carried_request = False
         self.task: Any = None
 
-    @property
-    def busy(self) -> bool:
-        """Whether a request is in flight, arriving, or the first one is awaited."""
-        return (
-            self._request_task is not None
-            or self._receiving
-            or not self._carried_request
+    def is_busy(self, now: timedelta) -> bool:
+        """Return whether a request is in flight, arriving, or soon to be expected."""
+        awaits_first = (
+            not self._carried_request and now - self._opened_at < _FIRST_REQUEST_TIME
         )
+        return self._request_task is not None or self._receiving or awaits_first
 
     def is_overdue(self, now: timedelta) -> bool:
         """Return whether the caller has exceeded `idle_time` or `request_time`."""
