Let the task of a connection to a replica end what sends on it

Cause: a request on an idle connection was sent by the task of the request. If the task that reads the connection ended, it closed the socket under the sender, whose wait stayed registered in curio's kernel under the number of the closed socket.

Change: a connection sends what the operating system takes at once, without waiting; the rest is sent by a task that belongs to the connection and has ended before the socket is closed. A new connection that is reset at once is closed by its task as well.

--- a/src/lovagetray/targets/_channel.py
+++ b/src/lovagetray/targets/_channel.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from typing import Any, Protocol
 
-from curio import CancelledError
+from curio import CancelledError, Task, TaskError, spawn
 from expression import Error, Ok, Result
 
 from lovagetray._clock import Clock
@@ -87,6 +87,10 @@
 class Channel:
     """A connection to one replica that carries one exchange at a time.
 
+    One task opens, reads and closes it. The rest of a request that the socket does not
+    take at once is sent by a second task, which the first one ends before it closes the
+    socket: curio's kernel fails if a socket is closed while a task waits for it.
+
     Parameters
     ----------
     notice
@@ -121,6 +125,7 @@
         self._exchange: Exchange | None = None
         self._parser = ResponseParser(buffered)
         self._sending = False
+        self._sender: Task | None = None
         self._broken = False
         self._received_response = False
         self._established = False
@@ -157,13 +162,11 @@
                 await self._fail(ConnectFailed(self.notice.replica))
                 return
             async with self._socket:
-                if first is None or first.abandoned_at is not None:
-                    self._exchange = None
-                    first = self._on_idle(self)
-                self._established = True
-                if first is not None:
-                    await self.send(first)
-                await self._read()
+                try:
+                    await self._carry_exchanges(first)
+                finally:
+                    if self._sender is not None:
+                        await self._sender.cancel()
         except CancelledError:
             await self._fail(self._end_failure())
             raise
@@ -181,16 +184,39 @@
         self._exchange = exchange
         self._carried_request = True
         exchange.sent_at = self._clock.monotonic_time()
-        self._sending = True
+        payload = exchange.payload
+        try:
+            sent = self._socket.send_available(payload)
+        except OSError:
+            # The task that reads the connection detects its end and reports it.
+            self._broken = True
+            return
+        if sent < len(payload):
+            self._sending = True
+            rest = memoryview(payload)[sent:]
+            self._sender = await spawn(self._send_rest, rest, daemon=True)
+            try:
+                await self._sender.join()
+            except TaskError:
+                # The connection has ended.
+                pass
+
+    async def _send_rest(self, rest: memoryview) -> None:
         try:
-            await self._socket.sendall(exchange.payload)
+            await self._socket.sendall(rest)
             self._sending = False
         except OSError:
             # The task that reads the connection detects its end and reports it.
-            pass
-        finally:
-            # After a partly sent request the connection cannot be reused.
-            self._broken = self._broken or self._sending
+            self._broken = True
+
+    async def _carry_exchanges(self, first: Exchange | None) -> None:
+        if first is None or first.abandoned_at is not None:
+            self._exchange = None
+            first = self._on_idle(self)
+        self._established = True
+        if first is not None:
+            await self.send(first)
+        await self._read()
 
     async def _connect(self, first: Exchange | None) -> bool:
         connected = await self._clock.with_timeout(
@@ -201,9 +227,10 @@
                 self._socket = socket
             case _:
                 return False
-        if first is None or not first.at_most_once:
+        if first is None or not first.at_most_once or await self._stays_open():
             return True
-        return await self._stays_open()
+        await self._socket.close()
+        return False
 
     async def _stays_open(self) -> bool:
         """Return whether the replica does not reset a new connection at once."""
--- a/src/lovagetray/wire/_connect.py
+++ b/src/lovagetray/wire/_connect.py
@@ -1,14 +1,32 @@
 """TCP connections to IP addresses."""
 
-from typing import Any
+from socket import AF_INET, SOCK_STREAM, socket
 
 from curio import CancelledError
-from curio.socket import AF_INET, SOCK_STREAM, socket
+from curio.io import Socket
 
 from lovagetray._types import Address
 
 
-async def connect(address: Address) -> Any:
+class TcpSocket(Socket):  # type: ignore[misc]
+    """A curio socket that can also send without waiting."""
+
+    def send_available(self, data: bytes) -> int:
+        """Send what the operating system takes at once; return the number of bytes.
+
+        Raises
+        ------
+        OSError
+            If the connection has ended.
+        """
+        try:
+            sent: int = self._socket.send(data)
+        except BlockingIOError:
+            return 0
+        return sent
+
+
+async def connect(address: Address) -> TcpSocket:
     """Return a TCP connection to an IP address.
 
     `curio.open_connection` would resolve every address in a thread, which costs memory
@@ -19,7 +37,7 @@
     OSError
         If no connection can be established.
     """
-    connection = socket(AF_INET, SOCK_STREAM)
+    connection = TcpSocket(socket(AF_INET, SOCK_STREAM))
     try:
         await connection.connect((address.host, address.port))
     except (OSError, CancelledError):
