Wait for the end of a request before closing its caller's connection

Cause: the task that reads a caller's connection cancelled the task of the request, but closed the socket before that task had given up its wait to send.

Change: the connection waits for the end of the request's task first.

--- a/features/caller_connection.feature
+++ b/features/caller_connection.feature
@@ -6,6 +6,13 @@
     When a caller sends a request and closes its connection
     Then the request is cancelled within 300 ms
 
+  Scenario: Callers disconnect in the middle of a long response
+    Guards against a socket that is closed while the task of its request waits to send on
+    it: curio's kernel failed with KeyError, and all other requests ended with the process.
+    Given a server with responses of 3 MB
+    When 60 callers close or reset their connections in the middle of a response
+    Then the next caller is answered
+
   Scenario: Several requests on one connection
     Guards against a response that belongs to another request.
     Given a server that echoes the path
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -3,7 +3,7 @@
 from contextlib import suppress
 from datetime import timedelta
 from errno import EMFILE
-from socket import create_connection, socket
+from socket import SO_LINGER, SO_RCVBUF, SOL_SOCKET, create_connection, socket
 from threading import Event, Thread
 from time import monotonic, sleep as sleep_thread
 from typing import Any
@@ -26,8 +26,11 @@
 class CallerServerThread:
     """A caller server that runs in its own thread."""
 
-    def __init__(self, work_seconds: float, handler_fails: bool = False) -> None:
+    def __init__(
+        self, work_seconds: float, handler_fails: bool = False, body: bytes = b""
+    ) -> None:
         self._handler_fails = handler_fails
+        self._body = body
         self.waiting: list[socket] = []
         self.address = Address("127.0.0.1", free_ports(1)[0])
         self.requests: list[RawRequest] = []
@@ -110,7 +113,7 @@
         except CancelledError:
             self.cancelled.set()
             raise
-        return RawResponse(200, (), request.target)
+        return RawResponse(200, (), self._body or request.target)
 
 
 @given("a server whose requests take {seconds:d} s")
@@ -128,6 +131,27 @@
     context.fleet = context.server = CallerServerThread(0, handler_fails=True)
 
 
+@given("a server with responses of {megabytes:d} MB")
+def start_long_server(context: Context, megabytes: int) -> None:
+    body = b"x" * (megabytes * 1_000_000)
+    context.fleet = context.server = CallerServerThread(0, body=body)
+
+
+@when("{count:d} callers close or reset their connections in the middle of a response")
+def disconnect_in_response(context: Context, count: int) -> None:
+    for number in range(count):
+        with socket() as caller:
+            # A small window, so that the server has to wait.
+            caller.setsockopt(SOL_SOCKET, SO_RCVBUF, 4096)
+            address = context.server.address
+            caller.connect((address.host, address.port))
+            caller.sendall(_request("/1"))
+            caller.recv(100)
+            sleep_thread(_POLL_SECONDS)
+            if number % 2:
+                caller.setsockopt(SOL_SOCKET, SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+
+
 @when("a caller sends a request")
 def send_request(context: Context) -> None:
     context.caller = _connect(context)
--- a/src/lovagetray/wire/_caller_server.py
+++ b/src/lovagetray/wire/_caller_server.py
@@ -285,8 +285,9 @@
                 await self._refuse(RequestTooSlow(self._limits.request_time))
             raise
         finally:
+            # Curio's kernel fails if the socket is closed while the task waits for it.
             if self._request_task is not None:
-                await self._request_task.cancel(blocking=False)
+                await self._request_task.cancel()
 
     async def _wait_for_end(self, running: Task) -> bool:
         """Return whether the connection is reusable after a request.
