Write a replica's departure to disk before it is acknowledged

Cause: the acknowledgement waited for the memory of other instances; the directory's file was written up to 0.5 s later. The restarted processes read the replica as ready, and a notice that was held up came as news.

An instance with a disk confirms again once the departure is on it; the acknowledgement waits for one disk more than may be lost, and after 600 ms is content with one. Departures stay in the file whatever their age.

--- a/features/announcing.feature
+++ b/features/announcing.feature
@@ -20,6 +20,24 @@
     When a replica announces that it is draining and no peer confirms
     Then the notice is not acknowledged
 
+  Scenario Outline: The disks of an instance and its peers
+    Guards against an acknowledged departure that is on no disk, or only on one that may
+    be lost, so that a kill of all processes makes it forgotten. Also guards against an
+    acknowledgement that waits for a disk that hangs.
+    Given an instance with peers a and b, which all have a disk
+    And <lost> disks may be lost at a time
+    When a replica announces that it is draining while <disks>
+    Then the notice is <outcome> after <from> to <until> ms
+
+    Examples:
+      | lost | disks                                     | outcome          | from | until |
+      | 0    | all disks take 20 ms                      | acknowledged     | 40   | 60    |
+      | 1    | all disks take 20 ms                      | acknowledged     | 60   | 80    |
+      | 1    | the disk of peer b hangs                  | acknowledged     | 60   | 80    |
+      | 1    | the own disk hangs                        | acknowledged     | 600  | 600   |
+      | 1    | the disks of both peers hang              | acknowledged     | 600  | 600   |
+      | 1    | all disks hang                            | not acknowledged | 600  | 600   |
+
   Scenario: An unknown replica leaves
     Guards against a deregistration that is dropped because this instance has just
     started and does not know the replica.
--- a/features/directory_store.feature
+++ b/features/directory_store.feature
@@ -33,6 +33,34 @@
     When the instance restarts after 60 seconds
     Then r1 is not usable after the restart
 
+  Scenario: A replica was draining when the file was saved
+    Guards against a draining replica that is used again after a long stop, or a jump of
+    the wall clock, because its late notice comes as news.
+    Given a saved directory with "r1 ready born 10 sequence 5"
+    And "r1 draining born 10 sequence 7" arrives and the directory is saved
+    When the instance restarts after 60 seconds
+    And "r1 ready born 10 sequence 6" arrives after the restart
+    Then r1 is not usable after the restart
+
+  Scenario: A replica left long before the file was saved
+    Guards against a departure that is missing from the file because the replica has not
+    been heard since.
+    Given a saved directory with "r1 ready born 10 sequence 5"
+    And r1 leaves and the directory is saved
+    And 15 seconds pass
+    When the instance restarts after 1 seconds
+    And "r1 ready born 10 sequence 6" arrives after the restart
+    Then r1 is not usable after the restart
+
+  Scenario: A departure is saved before it is acknowledged
+    Guards against a departure that a kill of all processes makes forgotten, because the
+    file is written half a second later.
+    Given a saved directory with "r1 ready born 10 sequence 5"
+    When r1 leaves, its departure is to be acknowledged, and the instance restarts at once
+    And "r1 ready born 10 sequence 6" arrives after the restart
+    Then the departure was on the disk
+    And r1 is not usable after the restart
+
   Scenario Outline: The file cannot be used
     Guards against an instance that does not start, or ends, because of this file.
     Given a saved directory with "r1 ready born 10 sequence 5"
--- a/features/gateway_processes.feature
+++ b/features/gateway_processes.feature
@@ -64,6 +64,14 @@
     Then the configuration reads back unchanged
     And a query is answered with 4 parts
 
+  Scenario: All gateways are killed right after a departure was acknowledged
+    Guards against a replica that is used again although its departure was acknowledged:
+    only the memory of the processes had it, and a late notice came as news (review/5).
+    Given 3 gateways, 4 shards and a service
+    When a replica deregisters, and all gateways are killed at once and started again
+    Then a query is answered with 4 parts
+    And it receives no more requests through any gateway
+
   Scenario: All gateways restart while all their seed nodes are down
     Guards against voters that learn each other's addresses only from the seed nodes.
     Three voters that had started 0.8 s earlier than their replaced seed nodes could not
--- a/features/steps/announcing_steps.py
+++ b/features/steps/announcing_steps.py
@@ -20,7 +20,7 @@
     ReplicasLeft,
 )
 from lovagetray._routing_types import NoticeVersion, RepeatedNotice, ReplicaState
-from lovagetray._types import InstanceId
+from lovagetray._types import InstanceCapacity, InstanceId
 from lovagetray.commands.discovery import ReplicaGossip
 from lovagetray.state import (
     InstanceRecord,
@@ -32,14 +32,32 @@
 
 _LIFETIME = timedelta(hours=1)
 _CONFIRM_DELAY = timedelta(milliseconds=40)
+_HANG_TIME = timedelta(hours=1)
 _DIGEST = NoticeDigest((NoticeVersion("r9", (1000, False, 3)),))
 
 
+class SlowStore:
+    """The disk of an instance, which takes a time or hangs."""
+
+    def __init__(self, delay: timedelta | None) -> None:
+        self.delay = delay
+
+    async def save(self, timeout: timedelta) -> bool:
+        if self.delay is None:
+            await SystemClock().sleep(timeout)
+            return False
+        await SystemClock().sleep(self.delay)
+        return True
+
+
 class ConfirmingTransport:
     """A transport to peers of which some confirm each numbered message."""
 
-    def __init__(self, confirming: tuple[str, ...]) -> None:
+    def __init__(
+        self, confirming: tuple[str, ...], stores: dict[str, SlowStore]
+    ) -> None:
         self.confirming = confirming
+        self.stores = stores
         self.sent: list[Any] = []
         self.replica_gossip: Any = None
 
@@ -55,11 +73,48 @@
     async def _confirm(self, name: str, number: int) -> None:
         await SystemClock().sleep(_CONFIRM_DELAY)
         await self.replica_gossip.receive(name, NoticesSeen(number))
+        store = self.stores.get(name)
+        if store is not None and await store.save(_HANG_TIME):
+            await self.replica_gossip.receive(name, NoticesSeen(number, True))
 
 
 @given("an instance with peers a and b")
 def create_peers(context: Context) -> None:
     context.peers = ("a", "b")
+    context.stores = {}
+    context.lost_disks = 0
+
+
+@given("an instance with peers a and b, which all have a disk")
+def create_peers_with_disks(context: Context) -> None:
+    create_peers(context)
+    delay = timedelta(milliseconds=20)
+    context.stores = {name: SlowStore(delay) for name in ("me", "a", "b")}
+
+
+@given("{count:d} disks may be lost at a time")
+def tolerate_losses(context: Context, count: int) -> None:
+    context.lost_disks = count
+
+
+@when("a replica announces that it is draining while {disks}")
+def drain_with_disks(context: Context, disks: str) -> None:
+    hanging = {
+        "the disk of peer b hangs": ["b"],
+        "the own disk hangs": ["me"],
+        "the disks of both peers hang": ["a", "b"],
+        "all disks hang": ["me", "a", "b"],
+    }
+    for name in hanging.get(disks, []):
+        context.stores[name].delay = None
+    _drain(context, ("a", "b"))
+
+
+@then("the notice is {outcome} after {earliest:d} to {latest:d} ms")
+def check_outcome(context: Context, outcome: str, earliest: int, latest: int) -> None:
+    assert context.result.is_ok() == (outcome == "acknowledged"), context.result
+    milliseconds = round(context.elapsed / timedelta(milliseconds=1))
+    assert earliest <= milliseconds <= latest, milliseconds
 
 
 @when("a replica announces that it is draining and both peers confirm")
@@ -208,13 +263,22 @@
         clock = SystemClock()
         members = Members(_record("me"), _LIFETIME)
         for name in context.peers:
-            members.update_record(_record(name), clock.monotonic_time())
-        transport = context.transport = ConfirmingTransport(confirming)
+            capacity = InstanceCapacity(1.0, 100.0, name in context.stores)
+            members.update_record(_record(name), clock.monotonic_time(), capacity)
+        transport = ConfirmingTransport(confirming, context.stores)
+        context.transport = transport
         directory = ReplicaDirectory(_LIFETIME, _LIFETIME)
         relays = Relays("me")
         relays.update(("me", *context.peers))
         transport.replica_gossip = ReplicaGossip(
-            directory, members, relays, transport, clock, Random(1)
+            directory,
+            members,
+            relays,
+            transport,
+            clock,
+            Random(1),
+            context.stores.get("me"),
+            context.lost_disks,
         )
         started_at = clock.monotonic_time()
         context.result = await work(transport.replica_gossip)
--- a/features/steps/directory_store_steps.py
+++ b/features/steps/directory_store_steps.py
@@ -71,6 +71,35 @@
     _save(context)
 
 
+@given('"{text}" arrives and the directory is saved')
+def receive_and_save(context: Context, text: str) -> None:
+    _accept(context, text)
+    _save(context)
+
+
+@given("{seconds:d} seconds pass")
+def pass_time(context: Context, seconds: int) -> None:
+    context.kernel.run(sleep, seconds)
+    context.kernel.run(_call, lambda: context.directory.expire(_now()))
+    _save(context)
+
+
+@when(
+    "{replica} leaves, its departure is to be acknowledged, and the instance restarts "
+    "at once"
+)
+def leave_and_restart(context: Context, replica: str) -> None:
+    context.kernel.run(_call, lambda: context.directory.leave(replica, _now()))
+    context.saved = context.kernel.run(context.store.save, timedelta(seconds=1))
+    context.kernel.run(context.task.cancel)
+    _start(context)
+
+
+@then("the departure was on the disk")
+def check_saved(context: Context) -> None:
+    assert context.saved
+
+
 @when("the instance restarts after {seconds:d} seconds")
 def restart(context: Context, seconds: int) -> None:
     context.kernel.run(context.task.cancel)
@@ -139,7 +168,7 @@
 
 def _start(context: Context) -> None:
     context.directory = ReplicaDirectory(_LIFETIME, _RETENTION)
-    store = DirectoryStore(
+    store = context.store = DirectoryStore(
         context.disk, context.directory, Relays("me"), _Clock(), _CONFIRMATION_TIME
     )
 
--- a/features/steps/gateway_process_steps.py
+++ b/features/steps/gateway_process_steps.py
@@ -5,6 +5,7 @@
 from json import dumps, loads
 from resource import RLIMIT_FSIZE, prlimit
 from shutil import rmtree
+from signal import SIGKILL
 from time import monotonic, sleep
 from typing import Any
 
@@ -315,6 +316,25 @@
         context.fleet.start_gateway(number, disk=True, first_start=False)
 
 
+@when("a replica deregisters, and all gateways are killed at once and started again")
+def deregister_and_restart(context: Context) -> None:
+    fleet = context.fleet
+    context.drained = f"{_SHARDS[0]}-1"
+    # The stand-in goes on to send notices, like those that were held up.
+    path = f"/-/instances/{context.drained}/deregister"
+    answer = fleet.call(1, fleet.gateways[1].control_port, "POST", path)
+    for gateway in fleet.gateways:
+        gateway.process.send_signal(SIGKILL)
+    assert answer.status == 200, answer
+    restart_all(context)
+    fleet.wait_serving(len(_SHARDS))
+    # Notices of all replicas come in meanwhile.
+    sleep(2)
+    context.arrived_before = len(_replica(fleet, context.drained)["arrived"])
+    for number in range(60):
+        _query(fleet, number % 3, f"left-{number}")
+
+
 @when("all gateways are killed and started again with seed nodes that are down")
 def restart_all_without_seeds(context: Context) -> None:
     for number in range(3):
--- a/src/lovagetray/_peer_messages.py
+++ b/src/lovagetray/_peer_messages.py
@@ -332,9 +332,17 @@
 
 
 class NoticesSeen(Struct, frozen=True):
-    """Confirmation of the message of the receiver that has this number."""
+    """Confirmation of the message of the receiver that has this number.
+
+    Parameters
+    ----------
+    stored
+        Whether the notices are on the disk of the sender, too; a sender with a disk
+        confirms twice.
+    """
 
     number: int
+    stored: bool = False
 
 
 class DirectoryChecksum(Struct, frozen=True):
--- a/src/lovagetray/commands/discovery/_replica_gossip.py
+++ b/src/lovagetray/commands/discovery/_replica_gossip.py
@@ -63,14 +63,45 @@
         """Queue a message to every other relay."""
 
 
+class DepartureStore(Protocol):
+    """Storage of the directory on the disk of this instance."""
+
+    async def save(self, timeout: timedelta) -> bool:
+        """Return whether all changes so far are on the disk within `timeout`."""
+
+
 class _PendingConfirmation:
-    """The confirmations of a message, and the instances that have not confirmed it."""
+    """The confirmations of a message.
+
+    Parameters
+    ----------
+    names
+        Instances that are to confirm it.
+    copies_wanted
+        Number of disks that it should be on.
+    """
 
-    def __init__(self, names: Iterable[str]) -> None:
+    def __init__(self, names: Iterable[str], copies_wanted: int) -> None:
         self.missing = set(names)
-        self.confirmed_count = 0
+        self.confirmed: set[str] = set()
+        self.copies: set[str] = set()
+        self.copies_wanted = copies_wanted
         self.done = Event()
 
+    @property
+    def complete(self) -> bool:
+        """Whether all instances have confirmed and enough disks have the message."""
+        return not self.missing and len(self.copies) >= self.copies_wanted
+
+    async def add(self, name: str, stored: bool) -> None:
+        """Record the confirmation of an instance."""
+        self.missing.discard(name)
+        self.confirmed.add(name)
+        if stored:
+            self.copies.add(name)
+        if self.complete:
+            await self.done.set()
+
 
 class ReplicaGossip:
     """Replication of the replica directory among the relays.
@@ -84,6 +115,13 @@
 
     An instance that is no relay forwards the notices that it gets to its relay, which
     treats them as its own and confirms them once other relays have done so.
+
+    Parameters
+    ----------
+    store
+        Storage of the directory; None without a disk.
+    tolerated_disk_losses
+        Number of disks that may be lost right after a departure was acknowledged.
     """
 
     def __init__(
@@ -94,7 +132,11 @@
         transport: NoticeTransport,
         clock: Clock,
         random: Random,
+        store: DepartureStore | None = None,
+        tolerated_disk_losses: int = 0,
     ) -> None:
+        self._store = store
+        self._tolerated_disk_losses = tolerated_disk_losses
         self._directory = directory
         self._members = members
         self._relays = relays
@@ -113,7 +155,8 @@
     ) -> Result[None, NoticeUnconfirmed]:
         """Accept a notice that a replica sent to this instance.
 
-        If the replica is draining, at least one other relay must confirm the notice.
+        If the replica is draining, at least one other relay must confirm the notice,
+        and it must be on a disk if there is one.
 
         Parameters
         ----------
@@ -185,7 +228,7 @@
                 for item in items:
                     self._directory.accept(item.notice, now - item.age)
                 if number:
-                    await self._transport.send(sender, NoticesSeen(number))
+                    await self._confirm(sender, number)
             case ReplicasHeard(notices=notices):
                 up_to_date = [
                     self._directory.accept_repeated(notice, now) for notice in notices
@@ -195,13 +238,15 @@
             case ReplicasLeft(number=number, replicas=replicas):
                 for replica in replicas:
                     self._directory.leave(replica, now)
-                await self._transport.send(sender, NoticesSeen(number))
+                await self._confirm(sender, number)
             case ReplicasLeaving(runs=runs):
                 changed = [run for run in runs if self._directory.mark_leaving(run)]
                 if changed and self._relays.is_relay and not from_relay:
                     await self._transport.broadcast(ReplicasLeaving(tuple(changed)))
-            case NoticesSeen(number=number):
-                await self._record_confirmation(sender, number)
+            case NoticesSeen(number=number, stored=stored):
+                confirmation = self._confirmations.get(number)
+                if confirmation is not None:
+                    await confirmation.add(sender, stored)
             case DirectoryChecksum(checksum=checksum):
                 if checksum != self._directory.checksum():
                     await self.request_missing(sender)
@@ -292,7 +337,20 @@
             case ReplicasLeft(replicas=replicas):
                 results = [await self.leave(replica, timeout) for replica in replicas]
         if message.number and all(result.is_ok() for result in results):
-            await self._transport.send(sender, NoticesSeen(message.number))
+            await self._transport.send(sender, NoticesSeen(message.number, True))
+
+    async def _confirm(self, sender: str, number: int) -> None:
+        """Confirm a message, and again once it is on the disk."""
+        await self._transport.send(sender, NoticesSeen(number))
+        if self._store is not None:
+            # The disk takes time, so the task that receives does not wait.
+            await spawn(self._confirm_stored, self._store, sender, number, daemon=True)
+
+    async def _confirm_stored(
+        self, store: DepartureStore, sender: str, number: int
+    ) -> None:
+        if await store.save(_CONFIRMATION_TIMEOUT):
+            await self._transport.send(sender, NoticesSeen(number, True))
 
     async def _send_until_confirmed(
         self,
@@ -300,45 +358,70 @@
         message: ReplicaNotices | ReplicasLeft,
         timeout: timedelta,
     ) -> Result[None, NoticeUnconfirmed]:
-        """Send a message and wait for all live relays, or the own one, to confirm.
+        """Send a message until all live relays, or the own one, have confirmed it.
+
+        It should also be on as many disks as survive the tolerated losses, because all
+        processes may be killed right after the acknowledgement.
 
-        A relay that does not confirm in time is probably unreachable. One confirmation
-        is then enough, because digests spread the notice to the others. Without any
-        other known instance, none is needed.
+        A relay that does not confirm in time may be unreachable, or its disk may hang.
+        One confirmation and one disk are then enough, because digests spread the notice
+        to the others. Without any other known instance, no confirmation is needed.
 
         Returns
         -------
         Result
-            `NoticeUnconfirmed` if other instances are known but none confirmed.
+            `NoticeUnconfirmed` if other instances are known but none confirmed, or if
+            there are disks but none has the notice.
         """
+        started_at = self._clock.monotonic_time()
         if self._relays.is_relay:
-            live = self._live_relays(self._clock.monotonic_time())
+            live = self._live_relays(started_at)
         else:
             live = [name for name in (self._relays.chosen,) if name is not None]
+        confirmation = _PendingConfirmation(live, self._copies_wanted(live))
+        self._confirmations[message.number] = confirmation
         await self._send_to_relays(message)
-        if not live:
-            if self._members.known_instances():
-                return Error(NoticeUnconfirmed(replica))
-            return Ok(None)
-        confirmation = self._confirmations[message.number] = _PendingConfirmation(live)
-        await self._clock.with_timeout(timeout, confirmation.done.wait())
+        own_name = self._members.own_record.instance.name
+        if self._store is not None and await self._store.save(timeout):
+            confirmation.copies.add(own_name)
+        if not confirmation.complete:
+            time_left = timeout - (self._clock.monotonic_time() - started_at)
+            await self._clock.with_timeout(
+                max(time_left, _NO_AGE), confirmation.done.wait()
+            )
         del self._confirmations[message.number]
-        if not confirmation.confirmed_count:
-            _log.warning("leaving_unconfirmed", replica=replica, asked=live)
+        confirmed = confirmation.confirmed or not self._members.known_instances()
+        if not confirmed or (confirmation.copies_wanted and not confirmation.copies):
+            _log.warning(
+                "leaving_unconfirmed",
+                replica=replica,
+                asked=live,
+                confirmed=sorted(confirmation.confirmed),
+                copies=len(confirmation.copies),
+            )
             return Error(NoticeUnconfirmed(replica))
-        if confirmation.missing:
+        if not confirmation.complete:
             _log.info(
                 "leaving_confirmed_by_some",
                 replica=replica,
                 missing=sorted(confirmation.missing),
+                copies=len(confirmation.copies),
+                copies_wanted=confirmation.copies_wanted,
             )
         return Ok(None)
 
-    async def _record_confirmation(self, sender: str, number: int) -> None:
-        confirmation = self._confirmations.get(number)
-        if confirmation is None:
-            return
-        confirmation.missing.discard(sender)
-        confirmation.confirmed_count += 1
-        if not confirmation.missing:
-            await confirmation.done.set()
+    def _copies_wanted(self, live: Iterable[str]) -> int:
+        """Return the number of disks that a departure should be on.
+
+        Parameters
+        ----------
+        live
+            Instances that confirm it. If this one is no relay, its relay confirms only
+            what is on enough disks.
+        """
+        capacities = self._members.capacities()
+        disks = sum(name in capacities and capacities[name].disk for name in live)
+        if not self._relays.is_relay:
+            return min(1, disks)
+        disks += self._store is not None
+        return min(self._tolerated_disk_losses + 1, disks)
--- a/src/lovagetray/gateway/_discovery.py
+++ b/src/lovagetray/gateway/_discovery.py
@@ -49,8 +49,25 @@
         self.directory = ReplicaDirectory(
             settings.notice_interval * _MAX_MISSED_NOTICES, _REPLICA_RETENTION
         )
+        self._store: DirectoryStore | None = None
+        if settings.data_folder is not None:
+            # Beside the folder of the log, which is set aside if the log is damaged.
+            self._store = DirectoryStore(
+                FolderDisk(settings.data_folder.parent / "directory"),
+                self.directory,
+                relays,
+                clock,
+                settings.notice_interval * _CONFIRMING_NOTICES,
+            )
         self.gossip = ReplicaGossip(
-            self.directory, members, relays, transport, clock, random
+            self.directory,
+            members,
+            relays,
+            transport,
+            clock,
+            random,
+            self._store,
+            settings.tolerated_failures,
         )
         self._publisher = FeedPublisher(
             members.own_record.instance.incarnation,
@@ -64,16 +81,6 @@
         self._subscription = Subscription(
             members, self.directory, relays, transport, clock
         )
-        self._store: DirectoryStore | None = None
-        if settings.data_folder is not None:
-            # Beside the folder of the log, which is set aside if the log is damaged.
-            self._store = DirectoryStore(
-                FolderDisk(settings.data_folder.parent / "directory"),
-                self.directory,
-                relays,
-                clock,
-                settings.notice_interval * _CONFIRMING_NOTICES,
-            )
 
     def is_subscribed(self, name: str) -> bool:
         """Return whether an instance subscribes to this one, a relay."""
