Start an exchange without waiting for the replica to read

Cause: the task of the request waited until the socket had taken the whole request, before the first wait that has a time limit.

Change: the task that sends the rest of a request belongs to the connection only; nobody waits for it. The pool closes the connection once the exchange is overdue or abandoned.

--- a/features/long_requests.feature
+++ b/features/long_requests.feature
@@ -15,3 +15,12 @@
       | resets its connections                    |
       | answers and closes its connections        |
       | answers before it has read the requests   |
+
+  Scenario: A replica reads nothing of a long request
+    Guards against a request that waits for as long as the replica does not read: its
+    answer was due at its time limit, and never came (review/2).
+    Given a replica that reads nothing of long requests
+    When 8 long requests with 400 ms left are sent to it
+    Then none of them waits for the replica to read
+    And each ends with connection_lost once its time has passed
+    And the replica's connections are closed
--- a/features/steps/long_request_steps.py
+++ b/features/steps/long_request_steps.py
@@ -49,6 +49,7 @@
 
     def __init__(self, name: str, work_seconds: float) -> None:
         self.clients: list[Any] = []
+        self.start_tasks: list[Any] = []
         self._work_seconds = work_seconds
         self._listener = socket(AF_INET, SOCK_STREAM)
         # The operating system takes in some 70 KB that the replica does not read.
@@ -133,6 +134,47 @@
         assert [outcome.status for outcome in outcomes] == [200], outcomes
 
 
+@when("{count:d} long requests with {milliseconds:d} ms left are sent to it")
+def send_without_reader(context: Context, count: int, milliseconds: int) -> None:
+    time_left = timedelta(milliseconds=milliseconds)
+
+    async def work(pool: ConnectionPool, first: _Replica, other: _Replica) -> None:
+        clock = SystemClock()
+        await _exchange_all(pool, first, count, b"GET")
+        started_at = clock.monotonic_time()
+        long = await _start(pool, first, count, b"POST", _LONG_BODY, time_left)
+        while len(first.clients) < count:
+            await sleep(0.01)
+        context.start_tasks_running = [
+            task for task in first.start_tasks if not task.terminated
+        ]
+        await _wait(long)
+        context.waited = clock.monotonic_time() - started_at
+        context.outcomes = [waiter.outcomes for waiter in long]
+        await sleep(0.1)
+        context.open_count = pool.open_count
+
+    context.time_left = time_left
+    _run(context, work)
+
+
+@then("none of them waits for the replica to read")
+def check_started(context: Context) -> None:
+    assert not context.start_tasks_running, context.start_tasks_running
+
+
+@then("each ends with connection_lost once its time has passed")
+def check_timed_out(context: Context) -> None:
+    for outcomes in context.outcomes:
+        assert [outcome.code for outcome in outcomes] == ["connection_lost"], outcomes
+    assert context.waited >= context.time_left, context.waited
+
+
+@then("the replica's connections are closed")
+def check_closed(context: Context) -> None:
+    assert context.open_count == 0, context.open_count
+
+
 def _run(
     context: Context,
     work: Callable[[ConnectionPool, _Replica, _Replica], Awaitable[None]],
@@ -172,7 +214,8 @@
         payload = method + b" / HTTP/1.1\r\nRequest-Id: " + request_id.encode()
         payload += b"\r\nContent-Length: %d\r\n\r\n" % len(body) + body
         exchange = Exchange(replica.notice, request_id, payload, waiter, deadline)
-        await spawn(pool.start, exchange, daemon=True)
+        task = await spawn(pool.start, exchange, daemon=True)
+        replica.start_tasks.append(task)
     return waiters
 
 
--- a/src/lovagetray/targets/_channel.py
+++ b/src/lovagetray/targets/_channel.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from typing import Any, Protocol
 
-from curio import CancelledError, Task, TaskError, spawn
+from curio import CancelledError, Task, spawn
 from expression import Error, Ok, Result
 
 from lovagetray._clock import Clock
@@ -180,7 +180,11 @@
             self._on_closed(self, self._received_response)
 
     async def send(self, exchange: Exchange) -> None:
-        """Send an exchange on the idle connection; its waiter receives the outcome."""
+        """Send an exchange on the idle connection; its waiter receives the outcome.
+
+        This does not wait for the replica to read. If it never does, the pool closes
+        the connection after the deadline of the exchange.
+        """
         self._exchange = exchange
         self._carried_request = True
         exchange.sent_at = self._clock.monotonic_time()
@@ -195,11 +199,6 @@
             self._sending = True
             rest = memoryview(payload)[sent:]
             self._sender = await spawn(self._send_rest, rest, daemon=True)
-            try:
-                await self._sender.join()
-            except TaskError:
-                # The connection has ended.
-                pass
 
     async def _send_rest(self, rest: memoryview) -> None:
         try:
