--- a/features/caller_connection.feature
+++ b/features/caller_connection.feature
@@ -13,6 +13,13 @@
     When 60 callers close or reset their connections in the middle of a response
     Then the next caller is answered
 
+  Scenario: A caller reads nothing of a long response
+    Guards against a connection and its task that stay for as long as a caller neither
+    reads nor leaves.
+    Given a server with responses of 3 MB
+    When a caller sends a request and reads nothing for 5 s
+    Then its response was cut off by the server
+
   Scenario: Several requests on one connection
     Guards against a response that belongs to another request.
     Given a server that echoes the path
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -19,7 +19,9 @@
 from lovagetray.platform.formats import encode_caller_failure
 from lovagetray.wire import CallerServer, RawRequest, RawResponse
 
-_LIMITS = CallerLimits(request_time=timedelta(milliseconds=400))
+_LIMITS = CallerLimits(
+    request_time=timedelta(milliseconds=400), idle_time=timedelta(seconds=2)
+)
 _POLL_SECONDS = 0.01
 
 
@@ -152,6 +154,26 @@
                 caller.setsockopt(SOL_SOCKET, SO_LINGER, b"\x01\0\0\0\0\0\0\0")
 
 
+@when("a caller sends a request and reads nothing for {seconds:d} s")
+def read_nothing(context: Context, seconds: int) -> None:
+    context.caller = socket()
+    context.caller.setsockopt(SOL_SOCKET, SO_RCVBUF, 4096)
+    address = context.server.address
+    context.caller.connect((address.host, address.port))
+    context.caller.sendall(_request("/1"))
+    sleep_thread(seconds)
+
+
+@then("its response was cut off by the server")
+def check_cut_off(context: Context) -> None:
+    received = 0
+    with context.caller as caller, suppress(ConnectionError):
+        caller.settimeout(10)
+        while data := caller.recv(65536):
+            received += len(data)
+    assert received < 3_000_000, received
+
+
 @when("a caller sends a request")
 def send_request(context: Context) -> None:
     context.caller = _connect(context)
--- a/src/lovagetray/wire/_caller_server.py
+++ b/src/lovagetray/wire/_caller_server.py
@@ -248,6 +248,7 @@
         self._opened_at = self._waiting_since = clock.monotonic_time()
         self._receiving = False
         self._carried_request = False
+        self._sending_since: timedelta | None = None
         self.task: Any = None
 
     def is_busy(self, now: timedelta) -> bool:
@@ -258,7 +259,12 @@
         return self._request_task is not None or self._receiving or awaits_first
 
     def is_overdue(self, now: timedelta) -> bool:
-        """Return whether the caller has exceeded `idle_time` or `request_time`."""
+        """Return whether the caller has exceeded `idle_time` or `request_time`.
+
+        A caller that does not read its response may take `idle_time` as well.
+        """
+        if self._sending_since is not None:
+            return now - self._sending_since > self._limits.idle_time
         if self._request_task is not None or self.task is None:
             return False
         limits = self._limits
@@ -354,6 +360,7 @@
         """Handle a request and send its response."""
         try:
             response = await self._handler(request)
+            self._sending_since = self._clock.monotonic_time()
             await self._send(response, self._draining())
         except OSError:
             # The caller has disconnected; the task that reads the connection detects
@@ -364,7 +371,7 @@
             report_task_failure("caller_request", error)
             await self.task.cancel(blocking=False)
         finally:
-            self._request_task = None
+            self._request_task = self._sending_since = None
             self._waiting_since = self._clock.monotonic_time()
         if self._h11.our_state is MUST_CLOSE or self._h11.their_state is MUST_CLOSE:
             await self.task.cancel(blocking=False)
