Check in the fault soak that planned stops lose no request

Reproduced with real processes: the soak has callers of a slow service that keep their connections, planned stops overlap and are followed by SIGHUP or SIGTERM, and a request that ran and got no answer is a problem unless its gateway was killed or paused.

--- a/features/fault_soak.feature
+++ b/features/fault_soak.feature
@@ -26,5 +26,6 @@
       | an answer to a request that ran at 2 replicas | ran at                |
       | a single answer that was sent for another     | another request       |
       | version 3 when version 4 is due               | version 3 read        |
+      | no answer to a request that ran               | got no answer         |
       | an answer of a replica that left 4 s before   | said that it leaves   |
       | 3 answers of a replica that wants none        | while it refused them |
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -61,6 +61,16 @@
             arrived["o-1"] = [["o1"]]
             headers = {"server-stamp": "o-0.1"}
             promises.record_answer(Answer("o1", "once", 200, headers, b""))
+        case "no answer to a request that ran":
+            # A planned stop excuses no lost request, a kill does.
+            promises.record_answer(
+                Answer("o1", "once", 0, {}, b"", Delivery(1, 2, 0, 3))
+            )
+            promises.record_answer(
+                Answer("o2", "once", 0, {}, b"", Delivery(2, 2, 0, 3))
+            )
+            promises.disturbances.append(Disturbance(1, 1.0, 9.0, planned=True))
+            promises.disturbances.append(Disturbance(2, 1.0, 9.0))
         case "a single answer that was sent for another":
             headers = {"server-stamp": "o-0.1"}
             promises.record_answer(Answer("o2", "once", 200, headers, b""))
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -7,6 +7,7 @@
     Delivery,
     Disturbance,
     ReplicaEvent,
+    is_disturbed,
     leaving_problems,
     refusal_problems,
 )
@@ -81,6 +82,7 @@
                 found += self._query_problems(answer, arrived)
             else:
                 found += self._once_problems(answer, runs, arrived)
+            found += self._lost_problems(answer, runs)
         return found + self._config_problems()
 
     def replica_problems(
@@ -148,6 +150,35 @@
             found.append(f"{answer.request_id}: the answer of another request")
         return found
 
+    def _lost_problems(self, answer: Answer, runs: dict[str, list[str]]) -> list[str]:
+        """Return a request that ran and got no answer, also around a planned stop."""
+        delivery = answer.delivery
+        unplanned = [
+            disturbance for disturbance in self.disturbances if not disturbance.planned
+        ]
+        if (
+            answer.status
+            or answer.request_id not in runs
+            or is_disturbed(
+                unplanned, delivery.gateway, delivery.sent_at, delivery.ended_at
+            )
+        ):
+            return []
+        stopped_at = max(
+            (
+                disturbance.start
+                for disturbance in self.disturbances
+                if disturbance.gateway == delivery.gateway
+                and disturbance.start <= delivery.ended_at
+            ),
+            default=0.0,
+        )
+        return [
+            f"{answer.request_id}: ran and got no answer from gateway "
+            f"{delivery.gateway}, sent {delivery.sent_at - stopped_at:.1f} s and cut "
+            f"{delivery.ended_at - stopped_at:.1f} s after its last signal"
+        ]
+
     def _config_problems(self) -> list[str]:
         found = []
         for read in self.reads:
--- a/tools/soak/replica_promises.py
+++ b/tools/soak/replica_promises.py
@@ -12,11 +12,12 @@
 
 
 class Delivery(NamedTuple):
-    """A caller's request: its gateway, and when it was sent and answered."""
+    """A caller's request: its gateway, and when it was sent, answered and over."""
 
     gateway: int
     sent_at: float
     answered_at: float
+    ended_at: float = 0.0
 
 
 class ReplicaEvent(NamedTuple):
@@ -40,11 +41,18 @@
 
 
 class Disturbance(NamedTuple):
-    """A time in which a gateway was killed, stopped, paused or restarted."""
+    """A time in which a gateway was killed, stopped, paused or restarted.
+
+    Parameters
+    ----------
+    planned
+        Whether it was a planned stop, which excuses no lost request.
+    """
 
     gateway: int
     start: float
     end: float
+    planned: bool = False
 
 
 def leaving_problems(
@@ -71,7 +79,7 @@
         if (
             since is not None
             and delivery.sent_at > since + DRAIN_SECONDS
-            and not _disturbed(disturbances, delivery.gateway, since, event.at)
+            and not is_disturbed(disturbances, delivery.gateway, since, event.at)
         ):
             found.append(
                 f"{event.request_id}: sent to {replica} "
@@ -105,7 +113,7 @@
         if event.kind != "refused" or delivery is None:
             continue
         end = event.at + retry_after
-        if _disturbed(disturbances, delivery.gateway, event.at, end):
+        if is_disturbed(disturbances, delivery.gateway, event.at, end):
             continue
         requests[delivery.gateway, event.at] = sum(
             event.at + _REFUSAL_GRACE_SECONDS < at < end
@@ -118,9 +126,10 @@
     ]
 
 
-def _disturbed(
+def is_disturbed(
     disturbances: Sequence[Disturbance], gateway: int, start: float, end: float
 ) -> bool:
+    """Return whether a gateway was disturbed at any moment of a time."""
     return any(
         disturbance.gateway == gateway
         and disturbance.start <= end
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -22,7 +22,11 @@
 _DISKS = 3
 _SHARDS = ("shard-a", "shard-b", "shard-c", "shard-d")
 _SERVICE = "booking"
+# Its requests last longer than the rest of the grace period of most planned stops.
+_SLOW_SERVICE = "archive"
+_SLOW_WORK_MS = 2600.0
 _CALLERS = 4
+_SLOW_CALLERS = 8
 _LOST_FOR = (0.2, 2.0)
 # The platform kills a process this long after SIGTERM.
 _GRACE_SECONDS = 6.0
@@ -72,6 +76,7 @@
         try:
             self._start()
             threads = [Thread(target=self._call) for _ in range(_CALLERS)]
+            threads += [Thread(target=self._call_slow) for _ in range(_SLOW_CALLERS)]
             threads.append(Thread(target=self._read_configuration))
             for thread in threads:
                 thread.start()
@@ -103,7 +108,9 @@
     def _start(self) -> None:
         fleet = self._fleet
         fleet.start(_GATEWAYS, _DISKS)
-        fleet.start_replicas((*_SHARDS, _SERVICE))
+        fleet.start_replicas((*_SHARDS, _SERVICE, _SLOW_SERVICE))
+        slow = [f"{_SLOW_SERVICE}-{number}" for number in range(3)]
+        fleet.send_command(names=slow, work_ms=_SLOW_WORK_MS)
         states = fleet.send_command()["replicas"]
         self._links = LinkProxies(
             {name: state["port"] for name, state in states.items()}
@@ -186,7 +193,16 @@
         sleep(_LOST_FOR[1])
 
     def _stop(self) -> None:
-        number = self._random.randrange(_GATEWAYS)
+        """Stop one or two gateways, whose grace periods overlap."""
+        numbers = self._random.sample(range(_GATEWAYS), self._random.choice((1, 1, 2)))
+        stops = [Thread(target=self._stop_one, args=(number,)) for number in numbers]
+        for stop in stops:
+            stop.start()
+            sleep(self._random.uniform(0, 1))
+        for stop in stops:
+            stop.join()
+
+    def _stop_one(self, number: int) -> None:
         self._end_process(number, SIGTERM)
         self._restart(number)
 
@@ -246,8 +262,15 @@
         process = self._fleet.gateways[number].process
         # The restart that follows lets the gateway forget what replicas have said.
         ended_at = monotonic() + 2 * _GRACE_SECONDS
-        self._promises.disturbances.append(Disturbance(number, monotonic(), ended_at))
+        planned = signal == SIGTERM
+        self._promises.disturbances.append(
+            Disturbance(number, monotonic(), ended_at, planned)
+        )
         process.send_signal(signal)
+        if planned and self._random.random() < 0.5:
+            # Further signals do not change a stop that has begun.
+            sleep(self._random.uniform(0, 1))
+            process.send_signal(self._random.choice((SIGHUP, SIGTERM)))
         process.wait(2 * _GRACE_SECONDS)
         if signal == SIGTERM and process.returncode != 0:
             self._counts[f"stops with code {process.returncode}"] += 1
@@ -256,7 +279,8 @@
         self._fleet.start_gateway(number, number < _DISKS, first_start=False)
 
     def _put_configuration(self) -> bool:
-        document = self._fleet.next_configuration(_SHARDS, (_SERVICE,))
+        services = (_SERVICE, _SLOW_SERVICE)
+        document = self._fleet.next_configuration(_SHARDS, services)
         number = self._random.randrange(_GATEWAYS)
         if self._fleet.put_configuration(document, number).status != 200:
             return False
@@ -266,25 +290,34 @@
     # Callers.
 
     def _call(self) -> None:
+        kinds = (("query", "/all/q"), ("query", "/all/q"), ("once", f"/{_SERVICE}/x"))
+        self._call_until_end(kinds, 1500)
+
+    def _call_slow(self) -> None:
+        self._call_until_end((("slow", f"/{_SLOW_SERVICE}/x"),), 6000)
+
+    def _call_until_end(
+        self, kinds: tuple[tuple[str, str], ...], deadline_ms: int
+    ) -> None:
         """Send requests on kept connections until the run ends."""
         random = Random(self._random.random())
         connections: dict[int, HTTPConnection] = {}
         while not self._ended.wait(0.005):
             number = random.randrange(_GATEWAYS)
             self._sent += 1
-            kind, path = random.choice(
-                (("query", "/all/q"), ("query", "/all/q"), ("once", f"/{_SERVICE}/x"))
-            )
+            kind, path = random.choice(kinds)
             request_id = f"{kind}-{self._sent}-{random.getrandbits(32):08x}"
             connection = connections.pop(number, None) or HTTPConnection(
                 f"127.0.1.{number + 1}",
                 self._fleet.gateways[number].front_port,
-                timeout=4,
+                timeout=2.5 + deadline_ms / 1000,
             )
             sent_at = monotonic()
-            answer = _send(connection, kind, path, request_id)
-            answered_at = monotonic() if answer.status else 0.0
-            answer = answer._replace(delivery=Delivery(number, sent_at, answered_at))
+            answer = _send(connection, kind, path, request_id, deadline_ms)
+            ended_at = monotonic()
+            answered_at = ended_at if answer.status else 0.0
+            delivery = Delivery(number, sent_at, answered_at, ended_at)
+            answer = answer._replace(delivery=delivery)
             self._promises.record_answer(answer)
             self._counts[f"{kind} {answer.status}"] += 1
             if answer.status and answer.headers.get("connection") != "close":
@@ -315,8 +348,14 @@
         ]
 
 
-def _send(connection: HTTPConnection, kind: str, path: str, request_id: str) -> Answer:
-    headers = {"Host": HOST, "Request-Id": request_id, "Deadline": "1500"}
+def _send(
+    connection: HTTPConnection,
+    kind: str,
+    path: str,
+    request_id: str,
+    deadline_ms: int,
+) -> Answer:
+    headers = {"Host": HOST, "Request-Id": request_id, "Deadline": str(deadline_ms)}
     try:
         connection.request("GET", path, headers=headers)
         response = connection.getresponse()
