--- a/features/caller_connection.feature
+++ b/features/caller_connection.feature
@@ -46,6 +46,13 @@
       | a head of 20 KB                             | 431    |
       | a body of 300 KB                            | 413    |
 
+  Scenario: A refused caller goes on sending without end
+    Guards against a process that reads the bytes of a request that it has refused for as
+    long as they come: a task that always finds bytes never gives way to its time limit.
+    Given a server that echoes the path
+    When a caller sends a body of which the server takes only a part, without end
+    Then it could send at most 24 MB
+
   Scenario: A chunked body
     Guards against chunk framing or chunk extensions that end up in the body.
     Given a server that echoes the path
--- a/features/hostile_replicas.feature
+++ b/features/hostile_replicas.feature
@@ -48,9 +48,29 @@
       | half of a chunk                  |
       | half of a trailer                |
       | half of a body and a reset       |
+      | half of a status line            |
+      | half of a head                   |
+      | a head without its empty line    |
+      | a 102 and half of a head         |
       | a switch of protocols            |
       | bytes that are no response       |
 
+  Scenario Outline: A target of an entry instance ends its response early
+    Guards against the same at the other kind of connection, which reads with h11.
+    Given a replica that sends <bytes>
+    When an entry instance sends a request to it
+    Then the exchange fails with connection_lost
+
+    Examples:
+      | bytes                            |
+      | half of a body with a length     |
+      | half of a chunk                  |
+      | half of a body and a reset       |
+      | half of a status line            |
+      | half of a head                   |
+      | a head without its empty line    |
+      | a 102 and half of a head         |
+
   Scenario: All connections together keep a limited number of bytes
     Guards against memory that many connections fill although each keeps its own limit.
     Given a replica whose bytes never end: a body
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -364,6 +364,26 @@
     assert not context.server.requests
 
 
+@when("a caller sends a body of which the server takes only a part, without end")
+def send_without_end(context: Context) -> None:
+    context.sent_bytes = 0
+    block = b"x" * 65536
+    with _connect(context) as connection, suppress(ConnectionError):
+        connection.settimeout(10)
+        connection.sendall(
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999\r\n\r\n"
+        )
+        while context.sent_bytes < 2_000_000_000:
+            connection.sendall(block)
+            context.sent_bytes += len(block)
+
+
+@then("it could send at most {megabytes:d} MB")
+def check_sent_at_most(context: Context, megabytes: int) -> None:
+    # Socket buffers of the system hold some megabytes that nobody has read.
+    assert context.sent_bytes <= megabytes * 1_000_000, context.sent_bytes
+
+
 @when("a caller sends a chunked body")
 def send_chunked_body(context: Context) -> None:
     with _connect(context) as connection:
--- a/features/steps/hostile_replica_steps.py
+++ b/features/steps/hostile_replica_steps.py
@@ -36,6 +36,10 @@
     "half of a body with a length": _HEAD + b"Content-Length: 100\r\n\r\nhalf",
     "half of a chunk": _CHUNKED + b"64\r\nhalf",
     "half of a trailer": _CHUNKED + b"4\r\nhalf\r\n0\r\nX: y\r\n",
+    "half of a status line": _HEAD[:12],
+    "half of a head": _HEAD + b"Request-Id: r0\r\nContent-Len",
+    "a head without its empty line": _HEAD + b"Request-Id: r0\r\n",
+    "a 102 and half of a head": b"HTTP/1.1 102 Processing\r\n\r\n" + _HEAD,
     "half of a body and a reset": _HEAD + b"Connection: close\r\n\r\nhalf",
     "a switch of protocols": (
         b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
--- a/src/lovagetray/wire/_caller_server.py
+++ b/src/lovagetray/wire/_caller_server.py
@@ -52,6 +52,9 @@
 _BACKLOG = 1024
 _SWEEP_INTERVAL = timedelta(milliseconds=500)
 _CLOSE_TIMEOUT = timedelta(seconds=1)
+# Input of a refused request that is read so that the caller gets the refusal. A task
+# that always finds input never gives way to a timeout.
+_MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 # The first request on a new connection is expected within this time; a server that
 # closes does not wait longer for it.
 _FIRST_REQUEST_TIME = timedelta(seconds=1)
@@ -392,8 +395,12 @@
 
     async def _discard_input(self) -> None:
         await self._client.shutdown(SHUT_WR)
-        while await self._client.recv(_RECEIVE_BYTES):
-            pass
+        discarded = 0
+        while discarded < _MAX_DISCARDED_BYTES:
+            data = await self._client.recv(_RECEIVE_BYTES)
+            if not data:
+                return
+            discarded += len(data)
 
     async def _send(self, response: RawResponse, close: bool) -> None:
         headers = [
