Do not pass on a success of a replica that cannot be used

Cause: the response was stored as the failure to return when no other attempt is possible, and returned unchanged, with its status.

--- a/features/fakes/replica_script.py
+++ b/features/fakes/replica_script.py
@@ -36,7 +36,8 @@
     Parameters
     ----------
     action
-        answer, fail, shed, reset, refuse or silence.
+        answer, fail, shed, reset, refuse or silence; or "an encoding" or "no
+        identifier", which is what is wrong with its answers.
     leaving, refuses_for
         What the replica states in its replies.
     delay
@@ -89,6 +90,11 @@
                 response_id = f"stamp-{replica}-{len(self.received_requests)}"
                 body = behaviour.body or replica.encode().ljust(16, b".")[:16]
                 outcome: Any = _reply(200, response_id, body, False)
+            case "an encoding":
+                outcome = _reply(200, f"stamp-{replica}", b"spoiled", False)
+                outcome = outcome._replace(encoded=True)
+            case "no identifier":
+                outcome = _reply(200, "", b"spoiled", False)
             case "fail":
                 outcome = _reply(behaviour.status, f"stamp-{replica}", b"broken", False)
             case "shed":
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -45,6 +45,21 @@
     When an idempotent request is forwarded
     Then the response is the replica's failure with status 500
 
+  Scenario Outline: A success that cannot be used is not passed on
+    Guards against a spoiled answer that reaches the caller as a success (review/3), and
+    against a refusal that says that the request has not run.
+    Given a service with 3 replicas
+    And every replica answers with <fault>
+    When an <kind> request is forwarded
+    Then it fails with request_failed
+
+    Examples:
+      | fault         | kind         |
+      | an encoding   | at-most-once |
+      | an encoding   | idempotent   |
+      | no identifier | at-most-once |
+      | no identifier | idempotent   |
+
   Scenario: An at-most-once request is never hedged
     Guards against running such a request twice.
     Given a service with 3 replicas
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -47,6 +47,11 @@
     _set_every(context, ScriptedBehaviour("shed"))
 
 
+@given("every replica answers with {fault}")
+def spoil_all(context: Context, fault: str) -> None:
+    _set_every(context, ScriptedBehaviour(fault))
+
+
 @given("every replica is silent")
 def silence_all(context: Context) -> None:
     _set_every(context, ScriptedBehaviour("silence"))
--- a/src/lovagetray/_routing_types.py
+++ b/src/lovagetray/_routing_types.py
@@ -260,7 +260,12 @@
     leaving: bool = False
     refuses_for: timedelta | None = None
 
+    @property
+    def has_success_status(self) -> bool:
+        """Whether the status is that of a success, usable or not."""
+        return 200 <= self.status < 300
+
     @property
     def succeeded(self) -> bool:
         """Whether the response is successful and usable."""
-        return 200 <= self.status < 300 and bool(self.response_id) and not self.encoded
+        return self.has_success_status and bool(self.response_id) and not self.encoded
--- a/src/lovagetray/commands/forwarding/_forward.py
+++ b/src/lovagetray/commands/forwarding/_forward.py
@@ -109,4 +109,4 @@
         return Error(RequestFailed("this instance has stopped waiting: it is stopping"))
     if call.in_flight:
         return Error(TimeLimitReached(timeout))
-    return Error(RequestFailed("the connection to the replica was lost"))
+    return Error(RequestFailed(f"the last attempt ended with {call.last_failure}"))
--- a/src/lovagetray/queries/dispatch/_dispatch.py
+++ b/src/lovagetray/queries/dispatch/_dispatch.py
@@ -100,7 +100,7 @@
     reply
         Successful response.
     failure_reply
-        Newest unsuccessful response of a replica that may have run the request.
+        Newest response with a failure of a replica that may have run the request.
     may_have_run
         Whether any replica may have run the request.
     exhausted
@@ -316,8 +316,11 @@
                 await self._changed.set()
             return
         call.last_failure = f"status {reply.status}"
-        if not reply.not_run:
-            call.may_have_run = True
+        call.may_have_run = call.may_have_run or not reply.not_run
+        if reply.has_success_status:
+            # It must not reach the caller, who would take it for a success.
+            call.last_failure = "unusable response"
+        elif not reply.not_run:
             call.failure_reply = reply
         await self._record_failure(call)
 
