Strip the blanks around the values of a replica's headers

Cause: httptools keeps the blanks that HTTP allows there, and h11 refuses to send them.

Result: 'Values of headers have blanks around them' ends with connection_lost without the change and passes.

--- a/features/hostile_replicas.feature
+++ b/features/hostile_replicas.feature
@@ -91,6 +91,14 @@
       | each response and the start of another  |
       | each response without an id             |
 
+  Scenario: Values of headers have blanks around them
+    Guards against an answer that is not recognised, or cannot be sent on to the caller,
+    because of blanks that HTTP allows.
+    Given a replica that sends each response with blanks around the values of its headers
+    When two requests are sent to it, one after the other
+    Then each gets its own response
+    And no header of a response has blanks around its value
+
   Scenario: A late second copy is told apart by its id
     Guards against a late second copy of an answer that the next caller gets as its own.
     Given a replica that repeats its last response before the next one
--- a/features/steps/hostile_replica_steps.py
+++ b/features/steps/hostile_replica_steps.py
@@ -89,6 +89,11 @@
             response = _response(request, with_id="without" not in name)
             if "twice" in name:
                 response += response
+            if "blanks" in name:
+                response = response.replace(b": ", b": \t ").replace(
+                    b"\r\n", b" \t\r\n", 3
+                )
+                response = response.replace(b" \t\r\n", b"\r\n", 1)
             if "start of another" in name:
                 response += response[:20]
             await client.sendall(response)
@@ -225,6 +230,13 @@
     assert bodies == [b"body of r0", b"body of r1"], context.outcomes
 
 
+@then("no header of a response has blanks around its value")
+def check_headers(context: Context) -> None:
+    for reply in context.outcomes:
+        values = [value for _, value in reply.headers]
+        assert values == [value.strip() for value in values], values
+
+
 @then("each gets its own response or none")
 def check_no_foreign_response(context: Context) -> None:
     assert len(context.outcomes) == 2, context.outcomes
--- a/src/lovagetray/targets/_response_parser.py
+++ b/src/lovagetray/targets/_response_parser.py
@@ -145,6 +145,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header and evaluate those that concern framing and keep-alive."""
+        # The parser keeps the blanks after a value that HTTP allows.
+        value = value.strip(b" \t")
         lowered = name.lower()
         if lowered in (b"content-length", b"transfer-encoding"):
             self._response.framed = True
