Keep the shares of a traffic split by host and prefix

Cause: the shares were kept by the name of the route, which need not be unique.

Result: 'Two routes of one name have different splits' sent 300 of 300 requests to one service without the change, and 210, 60 and 30 with it.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -80,6 +80,12 @@
     When 300 requests are split 70 to 20 to 10
     Then the services get 210, 60 and 30 requests
 
+  Scenario: Two routes of one name have different splits
+    Guards against routes that reset each other's shares, so that the first service of
+    each gets most requests.
+    When 300 requests are split 70 to 20 to 10, each after one of a route of that name
+    Then the services get 210, 60 and 30 requests
+
   Scenario: A replica wants no requests for a time
     Guards against requests to an overloaded replica that has asked for a pause.
     Given a service with 1 replicas
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -221,6 +221,24 @@
     )
 
 
+@when("300 requests are split 70 to 20 to 10, each after one of a route of that name")
+def split_twice(context: Context) -> None:
+    weighted_services = tuple(
+        WeightedService(service, weight)
+        for service, weight in (("a", 70), ("b", 20), ("c", 10))
+    )
+    other_services = (WeightedService("d", 1), WeightedService("e", 1))
+    route = _route(RetrySafety.IDEMPOTENT)._replace(
+        destination=TrafficSplit(weighted_services)
+    )
+    other = route._replace(prefix="/other/", destination=TrafficSplit(other_services))
+    round_robin = WeightedRoundRobin()
+    context.counts = Counter()
+    for _ in range(300):
+        round_robin.choose(other, other_services)
+        context.counts[round_robin.choose(route, weighted_services)] += 1
+
+
 @then("the services get 210, 60 and 30 requests")
 def check_split(context: Context) -> None:
     assert context.counts == {"a": 210, "b": 60, "c": 30}, context.counts
--- a/src/lovagetray/commands/forwarding/_weighted_round_robin.py
+++ b/src/lovagetray/commands/forwarding/_weighted_round_robin.py
@@ -10,7 +10,8 @@
     """
 
     def __init__(self) -> None:
-        self._credits: dict[str, dict[str, float]] = {}
+        # By host and prefix, as the names of routes need not be unique.
+        self._credits: dict[tuple[str, str], dict[str, float]] = {}
 
     def choose(
         self, route: Route, weighted_services: tuple[WeightedService, ...]
@@ -19,12 +20,13 @@
 
         All credits start at zero again when the services of the route change.
         """
-        credits = self._credits.get(route.name)
+        key = route.host, route.prefix
+        credits = self._credits.get(key)
         if credits is None or credits.keys() != {
             weighted.service for weighted in weighted_services
         }:
             credits = {weighted.service: 0.0 for weighted in weighted_services}
-            self._credits[route.name] = credits
+            self._credits[key] = credits
         total = sum(weighted.weight for weighted in weighted_services)
         for weighted in weighted_services:
             credits[weighted.service] += weighted.weight / total
