Apply changed limits to open connections of callers

Cause: a connection kept the limits of its start.

Result: 'The limits change while a connection is open' fails in all 4 examples without the change (413 for 200, 431 for 200, and the reverse) and passes.

--- a/features/caller_connection.feature
+++ b/features/caller_connection.feature
@@ -53,6 +53,20 @@
     When a caller sends a body of which the server takes only a part, without end
     Then it could send at most 24 MB
 
+  Scenario Outline: The limits change while a connection is open
+    Guards against a connection that keeps the limits of its start: ten of ten kept
+    connections answered 413 to bodies that had been allowed for 5 s.
+    Given a server that echoes the path and takes <before>
+    When a caller sends a request, the server takes <after>, and the caller sends <request>
+    Then the second response has status <status>
+
+    Examples:
+      | before              | after               | request         | status |
+      | bodies of 1,000 B   | bodies of 262,144 B | a body of 2 KB  | 200    |
+      | bodies of 262,144 B | bodies of 1,000 B   | a body of 2 KB  | 413    |
+      | heads of 1,000 B    | heads of 16,384 B   | a head of 2 KB  | 200    |
+      | heads of 16,384 B   | heads of 1,000 B    | a head of 2 KB  | 431    |
+
   Scenario: A chunked body
     Guards against chunk framing or chunk extensions that end up in the body.
     Given a server that echoes the path
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -31,6 +31,7 @@
     def __init__(
         self, work_seconds: float, handler_fails: bool = False, body: bytes = b""
     ) -> None:
+        self.limits = _LIMITS
         self._handler_fails = handler_fails
         self._body = body
         self.waiting: list[socket] = []
@@ -63,7 +64,7 @@
 
     async def _serve(self) -> None:
         server = CallerServer(
-            self._handle, encode_caller_failure, SystemClock(), lambda: _LIMITS
+            self._handle, encode_caller_failure, SystemClock(), lambda: self.limits
         )
         task = await spawn(server.run, self.address)
         while not self._stop_requested.is_set():
@@ -128,6 +129,40 @@
     context.fleet = context.server = CallerServerThread(0)
 
 
+@given("a server that echoes the path and takes {limit}")
+def start_limited_server(context: Context, limit: str) -> None:
+    start_echo_server(context)
+    _change_limit(context, limit)
+
+
+@when(
+    "a caller sends a request, the server takes {limit}, and the caller sends {request}"
+)
+def send_after_change(context: Context, limit: str, request: str) -> None:
+    with _connect(context) as connection:
+        connection.sendall(_request("/1"))
+        connection.recv(1000)
+        _change_limit(context, limit)
+        if request == "a body of 2 KB":
+            head = b"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n"
+            parts = [head + b"x" * 2000]
+        else:
+            # In two parts, because only an incomplete head is limited.
+            parts = [b"GET /2 HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 2000, b"\r\n\r\n"]
+        with suppress(ConnectionError):
+            for part in parts:
+                connection.sendall(part)
+                sleep_thread(10 * _POLL_SECONDS)
+        connection.settimeout(5)
+        context.received = connection.recv(1000)
+
+
+@then("the second response has status {status:d}")
+def check_second_status(context: Context, status: int) -> None:
+    expected = f"HTTP/1.1 {status} ".encode()
+    assert context.received.startswith(expected), context.received[:200]
+
+
 @given("a server whose handler fails")
 def start_failing_server(context: Context) -> None:
     context.fleet = context.server = CallerServerThread(0, handler_fails=True)
@@ -451,3 +486,9 @@
         while data := connection.recv(65536):
             received += data
     return received
+
+
+def _change_limit(context: Context, limit: str) -> None:
+    kind, _, size, _ = limit.replace(",", "").split()
+    field = {"bodies": "body_bytes", "heads": "head_bytes"}[kind]
+    context.server.limits = _LIMITS._replace(**{field: int(size)})
--- a/src/lovagetray/wire/_caller_server.py
+++ b/src/lovagetray/wire/_caller_server.py
@@ -98,7 +98,7 @@
     encode_failure
         Returns the response to a request that could not be read.
     limits
-        Returns the current limits; a connection keeps those of its start.
+        Returns the current limits, which apply to open connections as well.
     """
 
     def __init__(
@@ -203,7 +203,7 @@
             self._handler,
             self._encode_failure,
             self._clock,
-            self._limits(),
+            self._limits,
             lambda: self._draining,
         )
         self._connections.add(connection)
@@ -237,16 +237,17 @@
         handler: Handler,
         encode_failure: FailureEncoder,
         clock: Clock,
-        limits: CallerLimits,
+        limits: Callable[[], CallerLimits],
         draining: Callable[[], bool],
     ) -> None:
         self._client = client
         self._handler = handler
         self._encode_failure = encode_failure
         self._clock = clock
-        self._limits = limits
+        self._current_limits = limits
         self._draining = draining
-        self._h11 = Connection(SERVER, max_incomplete_event_size=limits.head_bytes)
+        self._head_bytes = self._limits.head_bytes
+        self._h11 = Connection(SERVER, max_incomplete_event_size=self._head_bytes)
         self._request_task: Task | None = None
         self._opened_at = self._waiting_since = clock.monotonic_time()
         self._receiving = False
@@ -254,6 +255,10 @@
         self._sending_since: timedelta | None = None
         self.task: Any = None
 
+    @property
+    def _limits(self) -> CallerLimits:
+        return self._current_limits()
+
     def is_busy(self, now: timedelta) -> bool:
         """Return whether a request is in flight, arriving, or soon to be expected."""
         awaits_first = (
@@ -322,6 +327,7 @@
         body: list[bytes] = []
         size = 0
         self._receiving = bool(self._h11.trailing_data[0])
+        self._apply_head_limit()
         while True:
             try:
                 event = self._h11.next_event()
@@ -335,6 +341,7 @@
                 if not self._receiving:
                     self._receiving = True
                     self._waiting_since = self._clock.monotonic_time()
+                    self._apply_head_limit()
                 self._h11.receive_data(data)
                 continue
             match event:
@@ -359,6 +366,17 @@
                 case _ if event is PAUSED:
                     return None
 
+    def _apply_head_limit(self) -> None:
+        """Apply a changed limit to the next request; h11 keeps that of its start."""
+        head_bytes = self._limits.head_bytes
+        if head_bytes == self._head_bytes:
+            return
+        received, _ = self._h11.trailing_data
+        self._head_bytes = head_bytes
+        self._h11 = Connection(SERVER, max_incomplete_event_size=head_bytes)
+        if received:
+            self._h11.receive_data(received)
+
     async def _run_request(self, request: RawRequest) -> None:
         """Handle a request and send its response."""
         try:
