Read the run of a replica from its deregistration

That of an unknown replica was acknowledged and forgotten.

Cause: the body of a deregistration was ignored.

Change: a readable body is a notice with the state 'left', compared by run and sequence.

Result: 'The deregistration of an earlier run arrives late' and 'An unknown replica deregisters before its notice arrives' fail without the change and pass.

--- a/features/gateway_processes.feature
+++ b/features/gateway_processes.feature
@@ -102,6 +102,20 @@
     When a replica announces to one gateway that it is draining
     Then it receives no more requests through any gateway
 
+  Scenario: The deregistration of an earlier run arrives late
+    Guards against a replica that is out of use for good because a deregistration of an
+    earlier run under its id arrives after its start.
+    Given 3 gateways, 4 shards and a service
+    When a deregistration of an earlier run of a replica arrives
+    Then it is acknowledged, and the replica is still used
+
+  Scenario: An unknown replica deregisters before its notice arrives
+    Guards against a replica that is used after its departure was acknowledged, because
+    the instances did not know it yet and its notice arrives late.
+    Given 3 gateways, 4 shards and a service
+    When an unknown replica deregisters and its earlier notice arrives after that
+    Then it does not take over the address of a known replica
+
   Scenario: A caller disconnects during a query
     Guards against replicas that go on working for a caller that has disconnected.
     Given 3 gateways, 4 shards and a service
--- a/features/steps/gateway_process_steps.py
+++ b/features/steps/gateway_process_steps.py
@@ -396,6 +396,38 @@
     assert len(arrived) == context.arrived_before, arrived[context.arrived_before :]
 
 
+@when("a deregistration of an earlier run of a replica arrives")
+def deregister_earlier_run(context: Context) -> None:
+    context.drained = f"{_SHARDS[0]}-1"
+    context.answer = _send_notice(context, context.drained, "deregister", born=5)
+
+
+@then("it is acknowledged, and the replica is still used")
+def check_still_used(context: Context) -> None:
+    assert context.answer.status == 200, context.answer
+    before = len(_replica(context.fleet, context.drained)["arrived"])
+    for number in range(60):
+        _query(context.fleet, number % 3, f"used-{number}")
+    assert len(_replica(context.fleet, context.drained)["arrived"]) > before
+
+
+@when("an unknown replica deregisters and its earlier notice arrives after that")
+def deregister_unknown(context: Context) -> None:
+    context.drained = f"{_SHARDS[0]}-1"
+    # Later than the start of the replica that has the address.
+    born = 2**45
+    _send_notice(context, "unknown-1", "deregister", born=born, Sequence=7)
+    _send_notice(context, "unknown-1", "heartbeat", born=born, Sequence=6)
+
+
+@then("it does not take over the address of a known replica")
+def check_unknown_unused(context: Context) -> None:
+    for number in range(60):
+        _query(context.fleet, number % 3, f"unknown-{number}")
+    arrived = _replica(context.fleet, context.drained)["arrived"]
+    assert any(request[0].startswith("query-unknown") for request in arrived), arrived
+
+
 @when("a caller closes its connection during a query")
 def disconnect(context: Context) -> None:
     connection = HTTPConnection("127.0.1.1", context.fleet.gateways[0].front_port)
@@ -438,6 +470,24 @@
     return loads(context.fleet.call(number, port, "GET", path).body)
 
 
+def _send_notice(context: Context, name: str, action: str, **fields: Any) -> Response:
+    """Send a notice at the address of the replica that the scenario is about."""
+    fleet = context.fleet
+    notice = {
+        "Service": _SHARDS[0],
+        "Address": f"127.0.0.1:{_replica(fleet, context.drained)['port']}",
+        "Zone": "zone-1",
+        "Slots": 5,
+        "State": "ready",
+        "Sequence": 1,
+        "born": 1,
+        **fields,
+    }
+    path = f"/-/instances/{name}/{action}"
+    control = fleet.gateways[1].control_port
+    return fleet.call(1, control, "POST", path, dumps(notice).encode())
+
+
 def _query(fleet: PlatformFleet, number: int, name: object) -> Response:
     headers = {"Request-Id": f"query-{name}", "Deadline": "2000"}
     return fleet.get("/all/q", number, **headers)
--- a/src/lovagetray/commands/discovery/_replica_gossip.py
+++ b/src/lovagetray/commands/discovery/_replica_gossip.py
@@ -155,8 +155,8 @@
     ) -> Result[None, NoticeUnconfirmed]:
         """Accept a notice that a replica sent to this instance.
 
-        If the replica is draining, at least one other relay must confirm the notice,
-        and it must be on a disk if there is one.
+        If the replica is draining or has left, at least one other relay must confirm
+        the notice, and it must be on a disk if there is one.
 
         Parameters
         ----------
@@ -172,11 +172,16 @@
                     ReplicaNotices(0, (AgedNotice(notice, _NO_AGE),))
                 )
                 return Ok(None)
-            if known is None or notice.state is not ReplicaState.DRAINING:
+            if (
+                known is None
+                or notice.state is ReplicaState.READY
+                or notice.born < known.born
+            ):
                 return Ok(None)
         else:
+            has_left = notice.state is ReplicaState.LEFT
             _log.info(
-                "replica_announced",
+                "replica_left" if has_left else "replica_announced",
                 replica=notice.replica,
                 service=notice.service,
                 state=notice.state.value,
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -41,6 +41,7 @@
     CallerRequest,
     ReplicaNotice,
     ReplicaReply,
+    ReplicaState,
     RoutingDocument,
 )
 from lovagetray._settings_errors import InvalidSettings
@@ -213,12 +214,23 @@
         # All instances listen on the same control port.
         return Address(Address.parse(relay).host, self._settings.addresses.control.port)
 
-    async def deregister_replica(self, replica: str) -> Result[None, NoticeUnconfirmed]:
+    async def deregister_replica(
+        self, replica: str, notice: ReplicaNotice | None
+    ) -> Result[None, NoticeUnconfirmed]:
         """Accept a replica's notice that it has left.
 
         Fails as `NoticeUnconfirmed` if other instances are known but none confirms it.
+
+        Parameters
+        ----------
+        notice
+            What the replica says of itself; None if that is no more than its id.
         """
-        return await self._replica_gossip.leave(replica)
+        if notice is None:
+            return await self._replica_gossip.leave(replica)
+        return await self._replica_gossip.accept(
+            notice._replace(state=ReplicaState.LEFT)
+        )
 
     def addresses(self) -> AddressList:
         """Return the addresses that callers connect to, and how long they are valid.
--- a/src/lovagetray/platform/_control_handler.py
+++ b/src/lovagetray/platform/_control_handler.py
@@ -52,11 +52,7 @@
             case "POST", path if matched := _HEARTBEAT_PATH.fullmatch(path):
                 return await self._accept_notice(matched[1], request)
             case "POST", path if matched := _DEREGISTER_PATH.fullmatch(path):
-                match await self._gateway.deregister_replica(matched[1]):
-                    case Result(tag="ok"):
-                        return _empty_response(200)
-                    case Result(error=failure):
-                        return _error_response(503, str(failure))
+                return await self._deregister(matched[1], request)
         return _error_response(404, f"no endpoint for {request.method} {request.path}")
 
     def _list_addresses(self) -> HttpResponse:
@@ -99,6 +95,15 @@
                 location = f"http://{host}:{port}{request.path}"
                 return HttpResponse(307, {"location": location}, b"")
 
+    async def _deregister(self, replica: str, request: HttpRequest) -> HttpResponse:
+        # A replica need not send more than its id. If it does, its run is known.
+        notice = decode_notice(replica, request.body).default_value(None)
+        match await self._gateway.deregister_replica(replica, notice):
+            case Result(tag="ok"):
+                return _empty_response(200)
+            case Result(error=failure):
+                return _error_response(503, str(failure))
+
     async def _accept_notice(self, replica: str, request: HttpRequest) -> HttpResponse:
         match decode_notice(replica, request.body):
             case Result(tag="ok", ok=notice):
