Count the time of a suspension in leases

Cause: leases were measured with a clock that stands still during a suspension.

Result: 'The clock of leases goes on while the machine is suspended' fails without the change and passes. A real suspension was not played.

--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -248,3 +248,9 @@
     Guards against a status that names another leader or reports a lag without cause.
     Given 3 instances of the replicated log
     Then the leader's status shows every instance without lag
+
+  Scenario: The clock of leases goes on while the machine is suspended
+    Guards against a leader that wakes from a suspension of some seconds with a lease that
+    another leader's changes have overtaken, and answers reads with an old version.
+    When the machine is suspended for 5 seconds
+    Then the clock of the process has advanced by 5 seconds
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -5,7 +5,9 @@
 from datetime import datetime, timedelta, timezone
 from random import Random
 from statistics import median
+from time import CLOCK_BOOTTIME, CLOCK_MONOTONIC
 from typing import Any
+from unittest.mock import patch
 
 from behave import given, then, when
 from behave.runner import Context
@@ -18,6 +20,7 @@
 from fakes.virtual_time import VirtualKernel
 from msgspec import structs
 
+from lovagetray import SystemClock
 from lovagetray._errors import (
     LogCorrupted,
     NoLeader,
@@ -615,3 +618,22 @@
 def check_leader_silent(context: Context) -> None:
     leader = context.cluster.leader().name
     assert context.senders and leader not in context.senders, context.senders
+
+
+@when("the machine is suspended for {seconds:d} seconds")
+def suspend(context: Context, seconds: int) -> None:
+    suspended = 0.0
+
+    def read_clock(clock: int) -> float:
+        """Return what the operating system says; only one clock counts suspensions."""
+        return {CLOCK_MONOTONIC: 100.0, CLOCK_BOOTTIME: 100.0 + suspended}[clock]
+
+    with patch("lovagetray._clock.clock_gettime", read_clock):
+        before = SystemClock().monotonic_time()
+        suspended = float(seconds)
+        context.advanced = SystemClock().monotonic_time() - before
+
+
+@then("the clock of the process has advanced by {seconds:d} seconds")
+def check_advanced(context: Context, seconds: int) -> None:
+    assert context.advanced == timedelta(seconds=seconds), context.advanced
--- a/src/lovagetray/_clock.py
+++ b/src/lovagetray/_clock.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable
 from datetime import datetime, timedelta, timezone
-from time import monotonic
+from time import CLOCK_BOOTTIME, clock_gettime
 from typing import Protocol, TypeVar
 
 from curio import TaskTimeout, sleep, timeout_after
@@ -13,6 +13,15 @@
 T = TypeVar("T")
 
 
+def monotonic() -> float:
+    """Return the seconds since the machine started, suspensions included.
+
+    `time.monotonic` stands still during a suspension, so that a leader would wake with
+    a lease that has ended for all others.
+    """
+    return clock_gettime(CLOCK_BOOTTIME)
+
+
 class Clock(Protocol):
     """Source of wall-clock and monotonic time, sleep and timeouts."""
 
--- a/src/lovagetray/platform/__main__.py
+++ b/src/lovagetray/platform/__main__.py
@@ -3,10 +3,11 @@
 from gc import disable, enable, freeze
 from signal import SIG_IGN, SIGHUP, signal
 from sys import exit
-from time import monotonic
+from time import CLOCK_BOOTTIME, clock_gettime
 
 if __name__ == "__main__":
-    process_started_at = monotonic()
+    # On the clock of `SystemClock`, which is not imported yet.
+    process_started_at = clock_gettime(CLOCK_BOOTTIME)
     # SIGHUP reloads the settings; before they are read it must not end the process.
     signal(SIGHUP, SIG_IGN)
     # Objects created by imports never become garbage, and a collection that includes
