Move the decisions of a planned stop out of the gateway's assembly

Read as a newcomer: gateway assembles and decides nothing. Which requests can still be served is a query's decision (queries/dispatch), and the limit that commands and queries both look at is state. No behaviour changes.

--- a/features/fakes/replica_script.py
+++ b/features/fakes/replica_script.py
@@ -18,13 +18,9 @@
     ReplicaState,
 )
 from lovagetray._target_errors import ConnectFailed, ConnectionLost
-from lovagetray.queries.dispatch import (
-    AnswerLimit,
-    DispatchDependencies,
-    RequestEncoder,
-)
+from lovagetray.queries.dispatch import DispatchDependencies, RequestEncoder
 from lovagetray.queries.load_balancing import LoadBalancer, RetryBudget
-from lovagetray.state import ReplicaDirectory
+from lovagetray.state import AnswerLimit, ReplicaDirectory
 from lovagetray.targets import Availability, Exchange
 
 _LIFETIME = timedelta(hours=1)
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -21,7 +21,7 @@
     Route,
 )
 from lovagetray.commands.forwarding import forward
-from lovagetray.gateway import can_be_served, stop_schedule
+from lovagetray.queries.dispatch import can_be_served, stop_schedule
 from lovagetray.queries.gathering import gather
 
 _SILENT = ScriptedBehaviour("silence")
--- a/src/lovagetray/gateway/__init__.py
+++ b/src/lovagetray/gateway/__init__.py
@@ -7,5 +7,4 @@
     GatewayFormats,
 )
 from lovagetray.gateway._listing import Listing
-from lovagetray.gateway._planned_stop import can_be_served, stop_schedule
 from lovagetray.gateway._replicated_log import agreement_settings
--- a/src/lovagetray/gateway/_dispatcher.py
+++ b/src/lovagetray/gateway/_dispatcher.py
@@ -24,8 +24,7 @@
 from lovagetray._task_failures import report_task_failure
 from lovagetray._telemetry import GATEWAY_SECONDS, GATEWAY_SHARDS
 from lovagetray.commands.forwarding import WeightedRoundRobin, forward
-from lovagetray.gateway._planned_stop import can_be_served
-from lovagetray.queries.dispatch import DispatchDependencies
+from lovagetray.queries.dispatch import DispatchDependencies, can_be_served
 from lovagetray.queries.gathering import GatheredAnswer, gather
 from lovagetray.state import RoutingState
 
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -67,10 +67,13 @@
     GatewayFormats,
 )
 from lovagetray.gateway._listing import Listing
-from lovagetray.gateway._planned_stop import accepting_time, stop_schedule
 from lovagetray.gateway._replica_connections import ReplicaConnections
 from lovagetray.gateway._replicated_log import open_gateway_log
-from lovagetray.queries.dispatch import AnswerLimit, DispatchDependencies
+from lovagetray.queries.dispatch import (
+    DispatchDependencies,
+    accepting_time,
+    stop_schedule,
+)
 from lovagetray.queries.gathering import GatheredAnswer
 from lovagetray.queries.load_balancing import LoadBalancer, RetryBudget
 from lovagetray.queries.routing import AddressList, current_document
@@ -81,6 +84,7 @@
     wait_until_caught_up,
 )
 from lovagetray.state import (
+    AnswerLimit,
     InstanceState,
     Ledger,
     RoutingState,
--- a/src/lovagetray/queries/dispatch/__init__.py
+++ b/src/lovagetray/queries/dispatch/__init__.py
@@ -1,6 +1,5 @@
 """Dispatch: sends a request to one replica of each service, with retries and hedges."""
 
-from lovagetray.queries.dispatch._answer_limit import AnswerLimit
 from lovagetray.queries.dispatch._dispatch import (
     Dispatch,
     DispatchDependencies,
@@ -8,3 +7,8 @@
     ServiceCall,
     response_cutoff,
 )
+from lovagetray.queries.dispatch._planned_stop import (
+    accepting_time,
+    can_be_served,
+    stop_schedule,
+)
--- a/src/lovagetray/queries/dispatch/_dispatch.py
+++ b/src/lovagetray/queries/dispatch/_dispatch.py
@@ -22,8 +22,8 @@
 )
 from lovagetray._target_errors import ConnectFailed, ConnectionLost, NotSent
 from lovagetray._telemetry import DISPATCH_ATTEMPTS
-from lovagetray.queries.dispatch._answer_limit import AnswerLimit
 from lovagetray.queries.load_balancing import LoadBalancer
+from lovagetray.state import AnswerLimit
 from lovagetray.targets import ConnectionPool, Exchange, Outcome
 
 # With less time left before the deadline, an answer cannot be delivered any more.
--- a/src/lovagetray/state/__init__.py
+++ b/src/lovagetray/state/__init__.py
@@ -1,5 +1,6 @@
 """State of an instance, which commands change and queries read."""
 
+from lovagetray.state._answer_limit import AnswerLimit
 from lovagetray.state._audit import (
     Audit,
     AuditAnchor,
