--- a/features/steps/hostile_replica_steps.py
+++ b/features/steps/hostile_replica_steps.py
@@ -7,8 +7,9 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from curio import Event, TaskGroup, ignore_after, run, sleep
+from curio import TaskGroup, ignore_after, run, sleep
 from curio.socket import AF_INET, SO_LINGER, SOCK_STREAM, SOL_SOCKET, socket
+from fakes.recording_waiter import RecordingWaiter
 from fakes.replica_script import make_notice
 
 from lovagetray import Address, SystemClock
@@ -50,18 +51,6 @@
 _Serve = Callable[[Context, Any, int], Awaitable[None]]
 
 
-class _Waiter:
-    """Receiver of outcomes, with the time until the first one."""
-
-    def __init__(self) -> None:
-        self.outcomes: list[Any] = []
-        self.done = Event()
-
-    async def deliver(self, exchange: Exchange, outcome: Any) -> None:
-        self.outcomes.append(outcome)
-        await self.done.set()
-
-
 @given("a replica whose bytes never end: {name}")
 def send_without_end(context: Context, name: str) -> None:
     async def serve(context: Context, client: Any, number: int) -> None:
@@ -199,12 +188,12 @@
 @when("a second request waits and the replica announces another address")
 def move_replica(context: Context) -> None:
     async def work(pool: ConnectionPool, notice: Any) -> None:
-        waiters = [_Waiter(), _Waiter()]
+        waiters = [RecordingWaiter(), RecordingWaiter()]
         for number, waiter in enumerate(waiters):
             await pool.start(_make_exchange(notice, number, waiter))
         context.moved = True
         moved = notice._replace(address=Address("127.0.0.1", 1), sequence=2)
-        await pool.start(_make_exchange(moved, 2, _Waiter()))
+        await pool.start(_make_exchange(moved, 2, RecordingWaiter()))
         await ignore_after(_PATIENCE_SECONDS, waiters[1].done.wait())
         context.outcomes = waiters[1].outcomes
 
@@ -319,7 +308,7 @@
 ) -> None:
     waiters = []
     for number in range(count):
-        waiter = _Waiter()
+        waiter = RecordingWaiter()
         waiters.append(waiter)
         assert await pool.start(_make_exchange(notice, number, waiter))
         await ignore_after(_PATIENCE_SECONDS, waiter.done.wait())
@@ -331,7 +320,7 @@
     ]
 
 
-def _make_exchange(notice: Any, number: int, waiter: _Waiter) -> Exchange:
+def _make_exchange(notice: Any, number: int, waiter: RecordingWaiter) -> Exchange:
     payload = b"GET /%d HTTP/1.1\r\nRequest-Id: r%d\r\n\r\n" % (number, number)
     deadline = SystemClock().monotonic_time() + timedelta(seconds=_PATIENCE_SECONDS)
     return Exchange(notice, f"r{number}", payload, waiter, deadline)
--- a/features/steps/long_request_steps.py
+++ b/features/steps/long_request_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from curio import Event, TaskGroup, ignore_after, run, sleep, spawn
+from curio import TaskGroup, ignore_after, run, sleep, spawn
 from curio.socket import (
     AF_INET,
     IPPROTO_TCP,
@@ -18,6 +18,7 @@
     TCP_MAXSEG,
     socket,
 )
+from fakes.recording_waiter import RecordingWaiter
 from fakes.replica_script import make_notice
 
 from lovagetray import Address, SystemClock
@@ -32,18 +33,6 @@
 _RESET = b"\x01\0\0\0\0\0\0\0"
 
 
-class _Waiter:
-    """Receiver of the outcomes of one exchange."""
-
-    def __init__(self) -> None:
-        self.outcomes: list[Any] = []
-        self.done = Event()
-
-    async def deliver(self, exchange: Exchange, outcome: Any) -> None:
-        self.outcomes.append(outcome)
-        await self.done.set()
-
-
 class _Replica:
     """A replica on loopback with small windows, so that a long request blocks."""
 
@@ -205,9 +194,9 @@
     method: bytes,
     body: bytes = b"",
     time_left: timedelta = _PATIENCE_SECONDS * _SECOND,
-) -> list[_Waiter]:
+) -> list[RecordingWaiter]:
     """Start exchanges, each in a task of its own, as requests do."""
-    waiters = [_Waiter() for _ in range(count)]
+    waiters = [RecordingWaiter() for _ in range(count)]
     deadline = SystemClock().monotonic_time() + time_left
     for number, waiter in enumerate(waiters):
         request_id = f"{method.decode()}-{number}"
@@ -225,7 +214,7 @@
     await _wait(await _start(pool, replica, count, method))
 
 
-async def _wait(waiters: list[_Waiter]) -> None:
+async def _wait(waiters: list[RecordingWaiter]) -> None:
     for waiter in waiters:
         await ignore_after(_PATIENCE_SECONDS, waiter.done.wait())
 
--- a/src/lovagetray/commands/discovery/_replica_gossip.py
+++ b/src/lovagetray/commands/discovery/_replica_gossip.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Protocol
 
-from curio import Event, spawn
+from curio import spawn
 from expression import Error, Ok, Result
 from structlog import get_logger
 
@@ -23,6 +23,10 @@
 )
 from lovagetray._routing_errors import NoticeUnconfirmed
 from lovagetray._routing_types import ReplicaNotice, ReplicaRun, ReplicaState
+from lovagetray.commands.discovery._confirmation import (
+    DepartureStore,
+    PendingConfirmation,
+)
 from lovagetray.state import Members, Relays, ReplicaDirectory
 
 _log = get_logger()
@@ -63,46 +67,6 @@
         """Queue a message to every other relay."""
 
 
-class DepartureStore(Protocol):
-    """Storage of the directory on the disk of this instance."""
-
-    async def save(self, timeout: timedelta) -> bool:
-        """Return whether all changes so far are on the disk within `timeout`."""
-
-
-class _PendingConfirmation:
-    """The confirmations of a message.
-
-    Parameters
-    ----------
-    names
-        Instances that are to confirm it.
-    copies_wanted
-        Number of disks that it should be on.
-    """
-
-    def __init__(self, names: Iterable[str], copies_wanted: int) -> None:
-        self.missing = set(names)
-        self.confirmed: set[str] = set()
-        self.copies: set[str] = set()
-        self.copies_wanted = copies_wanted
-        self.done = Event()
-
-    @property
-    def complete(self) -> bool:
-        """Whether all instances have confirmed and enough disks have the message."""
-        return not self.missing and len(self.copies) >= self.copies_wanted
-
-    async def add(self, name: str, stored: bool) -> None:
-        """Record the confirmation of an instance."""
-        self.missing.discard(name)
-        self.confirmed.add(name)
-        if stored:
-            self.copies.add(name)
-        if self.complete:
-            await self.done.set()
-
-
 class ReplicaGossip:
     """Replication of the replica directory among the relays.
 
@@ -144,7 +108,7 @@
         self._clock = clock
         self._random = random
         self._last_message_number = 0
-        self._confirmations: dict[int, _PendingConfirmation] = {}
+        self._confirmations: dict[int, PendingConfirmation] = {}
         self._replicas_to_relay: set[str] = set()
         self._requested_at: dict[str, timedelta] = {}
         # Instances whose notices are missing here, asked too recently to ask again.
@@ -383,7 +347,7 @@
             live = self._live_relays(started_at)
         else:
             live = [name for name in (self._relays.chosen,) if name is not None]
-        confirmation = _PendingConfirmation(live, self._copies_wanted(live))
+        confirmation = PendingConfirmation(live, self._copies_wanted(live))
         self._confirmations[message.number] = confirmation
         await self._send_to_relays(message)
         own_name = self._members.own_record.instance.name
--- a/src/lovagetray/wire/__init__.py
+++ b/src/lovagetray/wire/__init__.py
@@ -1,5 +1,6 @@
 """Encodings of messages, and connections; contains no decisions."""
 
+from lovagetray.wire._caller_connection import RawRequest, RawResponse
 from lovagetray.wire._caller_json import (
     SearchDefaults,
     SearchDocument,
@@ -10,7 +11,7 @@
     failure_status,
     search_request,
 )
-from lovagetray.wire._caller_server import CallerServer, RawRequest, RawResponse
+from lovagetray.wire._caller_server import CallerServer
 from lovagetray.wire._connect import connect
 from lovagetray.wire._directory_codec import decode_directory, encode_directory
 from lovagetray.wire._effect_json import decode_effect_request, encode_effect_response
