Soak: a gateway is told that a replica leaves by an answer that it has passed on

The check took any answer to the same request for such an answer. It now asks for the replica's stamp in it; the scenario of the check has both sides.

--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -3,7 +3,12 @@
 from behave import then, when
 from behave.runner import Context
 from soak.promises import Answer, ConfigRead, Promises
-from soak.replica_promises import Delivery, Disturbance, ReplicaEvent
+from soak.replica_promises import (
+    Delivery,
+    Disturbance,
+    ReplicaEvent,
+    leaving_problems,
+)
 from soak.run import SoakRun
 
 _LOW, _HIGH = b"a" * 16, b"b" * 16
@@ -93,8 +98,18 @@
     promises = Promises(2)
     for number in range(5):
         delivery = Delivery(0, 1.0 + number, 1.1 + number)
-        promises.record_answer(Answer(f"q{number}", "query", 200, {}, b"", delivery))
+        headers = {"part-stamps": "s1-0.1, s2-0.1"}
+        promises.record_answer(
+            Answer(f"q{number}", "query", 200, headers, b"", delivery)
+        )
     context.problems = promises.replica_problems({"s1-0": events}, 1.5)
+    # A response that is lost on the link tells the gateway nothing of its replica.
+    assert not leaving_problems(
+        "s1-0",
+        events,
+        {f"q{number}": Delivery(0, 1.0 + number, 1.1 + number) for number in range(5)},
+        (),
+    )
     promises.disturbances.append(excuse)
     assert not promises.replica_problems({"s1-0": events}, 1.5)
 
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -97,7 +97,12 @@
         retry_after
             Seconds for which a replica that refuses asks for no requests.
         """
-        deliveries = {answer.request_id: answer.delivery for answer in self.answers}
+        deliveries = {
+            answer.request_id: answer.delivery._replace(
+                replicas=frozenset(map(_replica, _stamps(answer)))
+            )
+            for answer in self.answers
+        }
         found: list[str] = []
         for replica, of_replica in events.items():
             found += leaving_problems(
@@ -113,7 +118,7 @@
     ) -> list[str]:
         if answer.status != 200:
             return []
-        stamps = [stamp.strip() for stamp in answer.headers["part-stamps"].split(",")]
+        stamps = _stamps(answer)
         missing = int(answer.headers.get("missing-parts", "0"))
         records = [
             answer.body[start : start + _RECORD_BYTES]
@@ -192,6 +197,17 @@
         return found
 
 
+def _stamps(answer: Answer) -> list[str]:
+    """Return the stamps of the responses that an answer holds."""
+    headers = answer.headers
+    stamps = headers.get("part-stamps", headers.get("server-stamp", ""))
+    return [stamp.strip() for stamp in stamps.split(",") if stamp.strip()]
+
+
+def _replica(stamp: str) -> str:
+    return stamp.rpartition(".")[0]
+
+
 def _service(stamp: str) -> str:
     return stamp.rsplit("-", 1)[0]
 
--- a/tools/soak/replica_promises.py
+++ b/tools/soak/replica_promises.py
@@ -12,12 +12,19 @@
 
 
 class Delivery(NamedTuple):
-    """A caller's request: its gateway, and when it was sent, answered and over."""
+    """A caller's request: its gateway, and when it was sent, answered and over.
+
+    Parameters
+    ----------
+    replicas
+        Replicas whose responses are in the answer.
+    """
 
     gateway: int
     sent_at: float
     answered_at: float
     ended_at: float = 0.0
+    replicas: frozenset[str] = frozenset()
 
 
 class ReplicaEvent(NamedTuple):
@@ -61,11 +68,19 @@
     deliveries: Mapping[str, Delivery],
     disturbances: Sequence[Disturbance],
 ) -> list[str]:
-    """Return requests that a gateway sent to a replica after it had said it leaves."""
+    """Return requests that a gateway sent to a replica after it had said it leaves.
+
+    A gateway is told by a response that it has passed on to a caller: one that is lost
+    on the link tells it nothing.
+    """
     told_at: dict[tuple[int, int], float] = {}
     for event in events:
         delivery = deliveries.get(event.request_id)
-        if event.kind == "leaving" and delivery is not None and delivery.answered_at:
+        if (
+            event.kind == "leaving"
+            and delivery is not None
+            and replica in delivery.replicas
+        ):
             key = delivery.gateway, event.born
             told_at[key] = min(
                 told_at.get(key, delivery.answered_at), delivery.answered_at
