Send a peer heartbeats often until a connection to it is open

Its heartbeat had been lost, as a message to a peer without an open connection is, and the next one was due 300 ms later because the peer had been heard.

After a lost message the next heartbeat now follows after 100 ms, as for a peer that has not been heard.

--- a/src/lovagetray/wire/_peers.py
+++ b/src/lovagetray/wire/_peers.py
@@ -202,12 +202,14 @@
         """Send on one connection until it must be replaced."""
         queue = self._queues[name]
         connected_at = self._clock.monotonic_time()
+        is_open = True
         while True:
             is_close = self._is_close(name)
             interval = self._interval if is_close else self._distant_interval
-            # Messages to a peer that is not connected yet are lost, so a peer that has
-            # not been heard is sent heartbeats more often.
-            if self._time_since_heard(name) > max(self._failure_timeout, 3 * interval):
+            # Messages to a peer that is not connected yet are lost, so it is sent
+            # heartbeats more often, as is a peer that has not been heard.
+            silence = self._time_since_heard(name)
+            if not is_open or silence > max(self._failure_timeout, 3 * interval):
                 interval = min(interval, _UNHEARD_PEER_INTERVAL)
             next_message = await self._clock.with_timeout(interval, queue.get())
             match next_message:
@@ -216,7 +218,7 @@
                 case _:
                     messages = [self._heartbeat()]
             for message in messages:
-                self._send_message(socket, name, message)
+                is_open = self._send_message(socket, name, message)
             connection_age = self._clock.monotonic_time() - connected_at
             silence = min(self._time_since_heard(name), connection_age)
             if is_close and silence > self._failure_timeout:
@@ -239,16 +241,18 @@
         socket.connect(f"tcp://{address}")
         return socket
 
-    def _send_message(self, socket: Any, name: str, message: PeerMessage) -> None:
+    def _send_message(self, socket: Any, name: str, message: PeerMessage) -> bool:
+        """Send a message; return False if it is lost without an open connection."""
         frames = encode_envelope(Envelope(self._own_id, message))
         try:
             socket.send_multipart(frames, NOBLOCK)
         except Again:
             _dropped_total.labels(name).inc()
-            return
+            return False
         kind = type(message).__name__
         _sent_total.labels(kind).inc()
         _sent_bytes_total.labels(kind).inc(sum(map(len, frames)))
+        return True
 
 
 async def _receive_frames(socket: Any) -> list[bytes]:
