Answer HEAD requests

The parser of responses waited for a body that HTTP does not allow, and h11 then refused the body of the 504.

Exchanges say whether their response has a body; the servers of callers and of control requests send none to HEAD. On the new scenarios of caller_connection.feature and gateway_processes.feature fail: 'b""' and 'Response(status=0, ...)'; they pass now.

--- a/features/caller_connection.feature
+++ b/features/caller_connection.feature
@@ -26,6 +26,19 @@
     When a caller sends 5 requests on one connection
     Then each response echoes the path of its own request
 
+  Scenario Outline: A request whose response must have no body
+    Guards against a connection that is closed without an answer, because HTTP allows no
+    body in the response to a HEAD request.
+    Given a server whose handler returns a body, <length>
+    When a caller sends a HEAD request and another request on one connection
+    Then the first response states a length of <stated> and has no body
+    And the second response has a body
+
+    Examples:
+      | length                          | stated |
+      | and no length                   | 4      |
+      | and the length that GET returns | 41     |
+
   Scenario: Pipelined requests
     Guards against requests that are lost or get their responses out of order.
     Given a server that echoes the path
--- a/features/gateway_processes.feature
+++ b/features/gateway_processes.feature
@@ -96,6 +96,13 @@
     Then that gateway exits with code 1
     And after a restart with free disk space it serves the new configuration
 
+  Scenario: A request whose response has no body
+    Guards against HEAD requests that are run by a replica and end without an answer.
+    Given 3 gateways, 4 shards and a service
+    When a caller sends a HEAD request to the service through each gateway
+    Then each answer comes from a replica of the service and states its length
+    And HEAD requests to the control port are answered as GET requests without a body
+
   Scenario: A replica drains
     Guards against requests to a replica that has announced that it is draining.
     Given 3 gateways, 4 shards and a service
--- a/features/hostile_replicas.feature
+++ b/features/hostile_replicas.feature
@@ -99,6 +99,22 @@
     Then each gets its own response
     And no header of a response has blanks around its value
 
+  Scenario Outline: The response to a HEAD request
+    Guards against a request that waits until its time limit for a body that HTTP does not
+    allow, and against bytes of such a body that are taken for the next response.
+    Given a replica that answers HEAD requests with <response>
+    When two HEAD requests are sent to it, one after the other
+    Then each gets a response with status 200 and no body
+
+    Examples:
+      | response                           |
+      | a length                           |
+      | a length of 0                      |
+      | chunked encoding                   |
+      | no length                          |
+      | a length and, by mistake, a body   |
+      | a 102, then a length               |
+
   Scenario: A late second copy is told apart by its id
     Guards against a late second copy of an answer that the next caller gets as its own.
     Given a replica that repeats its last response before the next one
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -29,11 +29,16 @@
     """A caller server that runs in its own thread."""
 
     def __init__(
-        self, work_seconds: float, handler_fails: bool = False, body: bytes = b""
+        self,
+        work_seconds: float,
+        handler_fails: bool = False,
+        body: bytes = b"",
+        length_of_head: int | None = None,
     ) -> None:
         self.limits = _LIMITS
         self._handler_fails = handler_fails
         self._body = body
+        self._length_of_head = length_of_head
         self.waiting: list[socket] = []
         self.address = Address("127.0.0.1", free_ports(1)[0])
         self.requests: list[RawRequest] = []
@@ -116,6 +121,9 @@
         except CancelledError:
             self.cancelled.set()
             raise
+        if request.method == b"HEAD" and self._length_of_head is not None:
+            length = b"%d" % self._length_of_head
+            return RawResponse(200, ((b"Content-Length", length),), b"")
         return RawResponse(200, (), self._body or request.target)
 
 
@@ -209,6 +217,38 @@
     assert received < 3_000_000, received
 
 
+@given("a server whose handler returns a body, {length}")
+def start_server_with_body(context: Context, length: str) -> None:
+    stated = None if length == "and no length" else 41
+    context.fleet = context.server = CallerServerThread(
+        0, body=b"body", length_of_head=stated
+    )
+
+
+@when("a caller sends a HEAD request and another request on one connection")
+def send_head_request(context: Context) -> None:
+    with _connect(context) as connection:
+        connection.settimeout(5)
+        connection.sendall(_request("/1").replace(b"GET", b"HEAD", 1))
+        context.first = connection.recv(1000)
+        connection.sendall(_request("/2"))
+        context.second = connection.recv(1000)
+
+
+@then("the first response states a length of {length:d} and has no body")
+def check_head_response(context: Context, length: int) -> None:
+    head, _, body = context.first.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 "), context.first
+    lengths = [line for line in head.split(b"\r\n") if b"ontent-" in line]
+    assert lengths == [b"Content-Length: %d" % length], context.first
+    assert body == b"", context.first
+
+
+@then("the second response has a body")
+def check_body(context: Context) -> None:
+    assert context.second.endswith(b"\r\n\r\nbody"), context.second
+
+
 @when("a caller sends a request")
 def send_request(context: Context) -> None:
     context.caller = _connect(context)
--- a/features/steps/gateway_process_steps.py
+++ b/features/steps/gateway_process_steps.py
@@ -81,6 +81,39 @@
         assert answer.headers["server-stamp"].startswith(_SERVICE)
 
 
+@when("a caller sends a HEAD request to the service through each gateway")
+def send_head_requests(context: Context) -> None:
+    fleet = context.fleet
+    context.answers = [
+        fleet.call(
+            number,
+            gateway.front_port,
+            "HEAD",
+            f"/{_SERVICE}/1",
+            headers={"Request-Id": f"one-{number}"},
+        )
+        for number, gateway in enumerate(fleet.gateways)
+    ]
+
+
+@then("HEAD requests to the control port are answered as GET requests without a body")
+def check_control_head(context: Context) -> None:
+    fleet = context.fleet
+    port = fleet.gateways[0].control_port
+    for path, status in (("/metrics", 200), ("/none", 404)):
+        answer = fleet.call(0, port, "HEAD", path)
+        assert (answer.status, answer.body) == (status, b""), (path, answer)
+        assert int(answer.headers["content-length"]) > 0, answer
+
+
+@then("each answer comes from a replica of the service and states its length")
+def check_head_requests(context: Context) -> None:
+    check_requests(context)
+    for answer in context.answers:
+        assert answer.headers["content-length"] == str(25 * _RECORD_BYTES), answer
+        assert answer.body == b"", answer
+
+
 @then("every gateway lists all front addresses")
 def check_addresses(context: Context) -> None:
     def all_listed() -> bool:
--- a/features/steps/hostile_replica_steps.py
+++ b/features/steps/hostile_replica_steps.py
@@ -48,6 +48,14 @@
     ),
     "bytes that are no response": b"\x00\x01\x02\r\n\r\n",
 }
+_HEAD_RESPONSES = {
+    "a length": b"Content-Length: 41\r\n\r\n",
+    "a length of 0": b"Content-Length: 0\r\n\r\n",
+    "chunked encoding": b"Transfer-Encoding: chunked\r\n\r\n",
+    "no length": b"\r\n",
+    "a length and, by mistake, a body": b"Content-Length: 4\r\n\r\nbody",
+    "a 102, then a length": b"Content-Length: 41\r\n\r\n",
+}
 _Serve = Callable[[Context, Any, int], Awaitable[None]]
 
 
@@ -90,6 +98,18 @@
     context.serve = serve_once if name in _EARLY_ENDS else serve_each
 
 
+@given("a replica that answers HEAD requests with {name}")
+def answer_head(context: Context, name: str) -> None:
+    async def serve(context: Context, client: Any, number: int) -> None:
+        informational = b"HTTP/1.1 102 Processing\r\n\r\n" if "102" in name else b""
+        while request := await client.recv(_BLOCK):
+            request_id = request.split(b"Request-Id: ")[1].split(b"\r\n")[0]
+            head = _HEAD + b"Request-Id: " + request_id + b"\r\n"
+            await client.sendall(informational + head + _HEAD_RESPONSES[name])
+
+    context.serve = serve
+
+
 @given("a replica whose bytes are random")
 def send_random(context: Context) -> None:
     pieces = [
@@ -158,6 +178,11 @@
     _run(context, work)
 
 
+@when("two HEAD requests are sent to it, one after the other")
+def send_two_heads(context: Context) -> None:
+    _run(context, lambda pool, notice: _exchange(context, pool, notice, 2, "HEAD"))
+
+
 @when("two requests are sent to it, one after the other")
 def send_two(context: Context) -> None:
     _run(context, lambda pool, notice: _exchange(context, pool, notice, 2))
@@ -219,6 +244,15 @@
     assert bodies == [b"body of r0", b"body of r1"], context.outcomes
 
 
+@then("each gets a response with status 200 and no body")
+def check_bodiless(context: Context) -> None:
+    found = [
+        (getattr(outcome, "status", None), getattr(outcome, "body", None))
+        for outcome in context.outcomes
+    ]
+    assert found == [(200, b"")] * 2, context.outcomes
+
+
 @then("no header of a response has blanks around its value")
 def check_headers(context: Context) -> None:
     for reply in context.outcomes:
@@ -304,13 +338,13 @@
 
 
 async def _exchange(
-    context: Context, pool: ConnectionPool, notice: Any, count: int
+    context: Context, pool: ConnectionPool, notice: Any, count: int, method: str = "GET"
 ) -> None:
     waiters = []
     for number in range(count):
         waiter = RecordingWaiter()
         waiters.append(waiter)
-        assert await pool.start(_make_exchange(notice, number, waiter))
+        assert await pool.start(_make_exchange(notice, number, waiter, method))
         await ignore_after(_PATIENCE_SECONDS, waiter.done.wait())
         # Bytes that follow a response arrive before the next request is sent.
         await sleep(0.02)
@@ -320,10 +354,13 @@
     ]
 
 
-def _make_exchange(notice: Any, number: int, waiter: RecordingWaiter) -> Exchange:
-    payload = b"GET /%d HTTP/1.1\r\nRequest-Id: r%d\r\n\r\n" % (number, number)
+def _make_exchange(
+    notice: Any, number: int, waiter: RecordingWaiter, method: str = "GET"
+) -> Exchange:
+    payload = f"{method} /{number} HTTP/1.1\r\nRequest-Id: r{number}\r\n\r\n".encode()
     deadline = SystemClock().monotonic_time() + timedelta(seconds=_PATIENCE_SECONDS)
-    return Exchange(notice, f"r{number}", payload, waiter, deadline)
+    bodiless = method == "HEAD"
+    return Exchange(notice, f"r{number}", payload, waiter, deadline, bodiless=bodiless)
 
 
 def _response(request: bytes, with_id: bool) -> bytes:
--- a/src/lovagetray/platform/_caller_handler.py
+++ b/src/lovagetray/platform/_caller_handler.py
@@ -62,7 +62,7 @@
             case Result(tag="ok", ok=GatheredAnswer() as answer):
                 return _encode_gathered_answer(answer)
             case Result(tag="ok", ok=ReplicaReply() as reply):
-                return _encode_replica_reply(reply)
+                return _encode_replica_reply(reply, bodiless=raw.method == b"HEAD")
             case Result(error=failure):
                 return encode_failure(failure)
 
@@ -113,11 +113,13 @@
     return RawResponse(200, headers, answer.records)
 
 
-def _encode_replica_reply(reply: ReplicaReply) -> RawResponse:
+def _encode_replica_reply(reply: ReplicaReply, bodiless: bool) -> RawResponse:
+    """Return a replica's response; a bodiless one keeps the length that it states."""
+    excluded = _HOP_BY_HOP_HEADERS
+    if bodiless:
+        excluded -= {b"content-length"}
     headers = tuple(
-        header
-        for header in reply.headers
-        if header[0].lower() not in _HOP_BY_HOP_HEADERS
+        header for header in reply.headers if header[0].lower() not in excluded
     )
     return RawResponse(reply.status, headers, reply.body)
 
--- a/src/lovagetray/queries/dispatch/_dispatch.py
+++ b/src/lovagetray/queries/dispatch/_dispatch.py
@@ -378,6 +378,7 @@
             self,
             self._deadline,
             at_most_once=self._route.retry_safety is RetrySafety.AT_MOST_ONCE,
+            bodiless=self._request.method == b"HEAD",
         )
         call.tried.add(notice.replica)
         call.in_flight.append(exchange)
--- a/src/lovagetray/targets/_channel.py
+++ b/src/lovagetray/targets/_channel.py
@@ -68,6 +68,9 @@
         Monotonic time at which the replica stops working on the request.
     at_most_once
         Whether the request must not be sent again if its connection breaks.
+    bodiless
+        Whether the response has no body, whatever length it states, as that to a HEAD
+        request.
     sent_at
         Monotonic time at which the request was handed to a connection; None before.
     abandoned_at
@@ -80,6 +83,7 @@
     waiter: Waiter
     deadline: timedelta
     at_most_once: bool = False
+    bodiless: bool = False
     sent_at: timedelta | None = None
     abandoned_at: timedelta | None = None
 
@@ -187,6 +191,7 @@
         """
         self._exchange = exchange
         self._carried_request = True
+        self._parser.bodiless = exchange.bodiless
         exchange.sent_at = self._clock.monotonic_time()
         payload = exchange.payload
         try:
--- a/src/lovagetray/targets/_response_parser.py
+++ b/src/lovagetray/targets/_response_parser.py
@@ -81,6 +81,11 @@
     ----------
     buffered
         Bytes of incomplete responses on all connections of this instance.
+
+    Attributes
+    ----------
+    bodiless
+        Whether the next response ends with its head.
     """
 
     def __init__(self, buffered: BufferedBytes) -> None:
@@ -91,6 +96,7 @@
         self._unparsed_bytes = 0
         self._informational_responses = 0
         self._started = False
+        self.bodiless = False
         self.keep_alive = True
         self.oversized = False
         self.idle_timeout: timedelta | None = None
@@ -159,6 +165,11 @@
         self._response.status = self._parser.get_status_code()
         self._response.head_complete = True
         self._unparsed_bytes = 0
+        if self.bodiless and self._response.status >= 200:
+            # The parser expects a body from now on, so it can parse nothing else.
+            self.keep_alive = self.bodiless = False
+            self._complete.append(self._response)
+            self._response = RawResponse()
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
--- a/src/lovagetray/wire/_caller_connection.py
+++ b/src/lovagetray/wire/_caller_connection.py
@@ -61,7 +61,11 @@
 
 
 class RawResponse(NamedTuple):
-    """A complete response without its ``Content-Length``, which the server adds."""
+    """A complete response.
+
+    The server adds its ``Content-Length``, except to the response to a HEAD request
+    that states the length of the body that GET would get.
+    """
 
     status: int
     headers: RawHeaders
@@ -96,6 +100,8 @@
         self._opened_at = self._waiting_since = clock.monotonic_time()
         self._receiving = False
         self._carried_request = False
+        # Whether the request was a HEAD request, whose response must have no body.
+        self._bodiless = False
         self._sending_since: timedelta | None = None
         self.task: Any = None
 
@@ -170,6 +176,7 @@
         head: Request | None = None
         body: list[bytes] = []
         size = 0
+        self._bodiless = False
         self._receiving = bool(self._h11.trailing_data[0])
         self._apply_head_limit()
         while True:
@@ -191,6 +198,7 @@
             match event:
                 case Request():
                     head = event
+                    self._bodiless = head.method == b"HEAD"
                 case Data(data=data):
                     size += len(data)
                     if size > self._limits.body_bytes:
@@ -265,19 +273,23 @@
             discarded += len(data)
 
     async def _send(self, response: RawResponse, close: bool) -> None:
-        headers = [
-            *response.headers,
-            (b"Content-Length", b"%d" % len(response.body)),
-        ]
+        headers = list(response.headers)
+        if not (self._bodiless and _states_length(response)):
+            headers.append((b"Content-Length", b"%d" % len(response.body)))
         if close:
             headers.append((b"Connection", b"close"))
         head = Response(status_code=response.status, headers=headers)
         payload = self._h11.send(head) or b""
-        payload += self._h11.send(Data(data=response.body)) or b""
+        if not self._bodiless:
+            payload += self._h11.send(Data(data=response.body)) or b""
         payload += self._h11.send(EndOfMessage()) or b""
         await self._client.sendall(payload)
 
 
+def _states_length(response: RawResponse) -> bool:
+    return any(name.lower() == b"content-length" for name, _ in response.headers)
+
+
 def _request_failure(
     error: RemoteProtocolError, limits: CallerLimits
 ) -> RequestFailure:
--- a/src/lovagetray/wire/_http_server.py
+++ b/src/lovagetray/wire/_http_server.py
@@ -162,6 +162,10 @@
             case Result(tag="ok", ok=Result(tag="ok", ok=None)):
                 return False
             case Result(tag="ok", ok=Result(tag="ok", ok=HttpRequest() as request)):
+                bodiless = request.method == "HEAD"
+                if bodiless:
+                    # The same response as to GET, without its body.
+                    request = request._replace(method="GET")
                 handler_response = await self._handle(client, connection, request)
                 if handler_response is None:
                     return False
@@ -178,7 +182,11 @@
                     client, connection, response, close=True
                 )
         return await self._send_response(
-            client, connection, response, close=self._draining
+            client,
+            connection,
+            response,
+            close=self._draining,
+            bodiless=bodiless,
         )
 
     async def _handle(
@@ -246,8 +254,20 @@
                     )
 
     async def _send_response(
-        self, client: Any, connection: Connection, response: HttpResponse, close: bool
+        self,
+        client: Any,
+        connection: Connection,
+        response: HttpResponse,
+        close: bool,
+        bodiless: bool = False,
     ) -> bool:
+        """Send a response; return whether the connection is reusable.
+
+        Parameters
+        ----------
+        bodiless
+            Whether the response must have no body, as that to a HEAD request.
+        """
         headers = [(name, value) for name, value in response.headers.items()]
         headers.append(("content-length", str(len(response.body))))
         if close:
@@ -255,7 +275,8 @@
         head = Response(status_code=response.status, headers=headers)
         try:
             payload = connection.send(head) or b""
-            payload += connection.send(Data(data=response.body)) or b""
+            if not bodiless:
+                payload += connection.send(Data(data=response.body)) or b""
             payload += connection.send(EndOfMessage()) or b""
         except LocalProtocolError:
             return False
--- a/tools/platform_stand_in/replicas.py
+++ b/tools/platform_stand_in/replicas.py
@@ -180,6 +180,9 @@
             await asyncio.gather(closed, return_exceptions=True)
         finally:
             self.in_flight -= 1
+        if request_line.startswith("HEAD "):
+            writer.write(self._response_to_head(request_id))
+            return True
         return await self._respond(writer, behaviour.mode, request_id)
 
     def _record(self, kind: str, request_id: str) -> None:
@@ -191,6 +194,11 @@
         self.sequence = 0
         self.behaviour = self.behaviour._replace(mode="ok")
 
+    def _response_to_head(self, request_id: str) -> bytes:
+        headers = {"Request-Id": request_id, "Server-Stamp": f"{self.name}.head"}
+        body = b"x" * self.records * RECORD_BYTES
+        return _response(200, headers, body).removesuffix(body)
+
     async def _respond(self, writer: Any, mode: str, request_id: str) -> bool:
         """Send the response of a mode; return whether the connection stays open."""
         headers = {
