End a gateway that has lost one of its servers

A gateway whose peer port or port for callers was in use ran on without that server and without a line in its log; with another port it ended with a traceback. Seen as 1 of 225 runs of a scenario in which several fleets, whose gateways have the same addresses, ran at the same time.

The end of a server or of the transport to the peers is now logged and ends the process with exit code 1 (gateway_failed). The stand-in's fleet holds its ports. 'A port of a gateway is in use' fails on for front, control and peer ('gateway 2 did not stop in time', a traceback); all five examples pass now.

--- a/features/gateway_processes.feature
+++ b/features/gateway_processes.feature
@@ -146,3 +146,17 @@
       | reset    |
       | error    |
       | shed     |
+
+  Scenario Outline: A port of a gateway is in use
+    Guards against a process that goes on running without one of its servers: nobody
+    starts it again, and nothing says why it does not serve.
+    When 3 gateways start, and the <port> port of the last one is in use
+    Then the last one exits with code 1 and logs that the task <task> has ended
+
+    Examples:
+      | port      | task           |
+      | front     | caller_server  |
+      | ready     | control_server |
+      | control   | control_server |
+      | directory | control_server |
+      | peer      | peer_transport |
--- a/features/steps/gateway_process_steps.py
+++ b/features/steps/gateway_process_steps.py
@@ -6,6 +6,7 @@
 from resource import RLIMIT_FSIZE, prlimit
 from shutil import rmtree
 from signal import SIGKILL
+from socket import socket
 from time import monotonic, sleep
 from typing import Any
 
@@ -149,6 +150,34 @@
     check_read_back(context)
 
 
+@when("{count:d} gateways start, and the {name} port of the last one is in use")
+def start_with_port_in_use(context: Context, count: int, name: str) -> None:
+    fleet = context.fleet = PlatformFleet(context.folder)
+    with socket() as listener:
+        listener.bind((f"127.0.1.{count}", fleet.port(name)))
+        listener.listen()
+        fleet.start(count, count)
+        # The server of callers starts only with a configuration, which needs all seeds.
+        document = fleet.next_configuration(_SHARDS, (_SERVICE,))
+        last = fleet.gateways[-1].process
+        fleet.wait_until(
+            lambda: fleet.put_configuration(document).status == 200
+            or last.poll() is not None
+        )
+        context.exit_code = fleet.wait_stopped(count - 1, 30)
+
+
+@then("the last one exits with code {code:d} and logs that the task {task} has ended")
+def check_failed_start(context: Context, code: int, task: str) -> None:
+    assert context.exit_code == code, context.exit_code
+    last = len(context.fleet.gateways)
+    lines = (context.folder / f"entry-{last}.log").read_text().splitlines()
+    reasons = [loads(line)["reason"] for line in lines if "gateway_failed" in line]
+    assert len(reasons) == 1, lines
+    assert f"'{task}' has ended" in reasons[0], reasons
+    assert "in use" in reasons[0], reasons
+
+
 @when("the operator sends invalid configurations")
 def send_invalid_configurations(context: Context) -> None:
     valid = context.fleet.next_configuration(_SHARDS, (_SERVICE,), Version=99)
--- a/src/lovagetray/_task_failures.py
+++ b/src/lovagetray/_task_failures.py
@@ -1,9 +1,10 @@
-"""Reports of unexpected exceptions in the tasks of a process."""
+"""Unexpected exceptions in the tasks of a process, and the end of essential tasks."""
 
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Any
+from typing import Any, NamedTuple
 
+from curio import Queue
 from prometheus_client import Counter
 from structlog import get_logger
 
@@ -18,6 +19,24 @@
 _RESTART_DELAY = timedelta(seconds=1)
 
 
+class EssentialTaskEnded(NamedTuple):
+    """The end of a task without which the process is of no use.
+
+    Parameters
+    ----------
+    task
+        Kind of the task.
+    reason
+        The exception that ended it, if any.
+    """
+
+    task: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"the task {self.task!r} has ended: {self.reason}"
+
+
 def report_task_failure(task: str, error: Exception) -> None:
     """Log and count an unexpected exception in a task.
 
@@ -50,3 +69,20 @@
         except Exception as error:
             report_task_failure(task, error)
         await clock.sleep(_RESTART_DELAY)
+
+
+async def run_essential(
+    task: str, events: Queue, work: Callable[..., Awaitable[None]], *arguments: Any
+) -> None:
+    """Run a task; put `EssentialTaskEnded` on a queue when it ends.
+
+    A server that cannot bind its port, for example, would otherwise leave a process
+    that runs and does nothing, which nobody starts again.
+    """
+    try:
+        await work(*arguments)
+        reason = "it has returned"
+    except Exception as error:
+        report_task_failure(task, error)
+        reason = repr(error)
+    await events.put(EssentialTaskEnded(task, reason))
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -46,7 +46,11 @@
 )
 from lovagetray._settings_errors import InvalidSettings
 from lovagetray._signals import SignalListener
-from lovagetray._task_failures import run_restarting
+from lovagetray._task_failures import (
+    EssentialTaskEnded,
+    run_essential,
+    run_restarting,
+)
 from lovagetray._telemetry import (
     AGREEMENT_LEADS,
     AGREEMENT_TERM,
@@ -94,9 +98,9 @@
 from lovagetray.targets import ConnectionPool
 
 _log = get_logger()
-# Exit code of a gateway that can no longer take part in the replicated log: it could
-# not be opened or has stopped.
-_EXIT_LOG_STOPPED = 1
+# Exit code of a gateway that can no longer take part in the replicated log, or has lost
+# another task that it cannot do without.
+_EXIT_FAILED = 1
 # An instance with a disk serves its stored document if no leader is found by then.
 _CATCH_UP_TIMEOUT = timedelta(seconds=10)
 # Address lists expire this long before their instances stop accepting requests.
@@ -296,7 +300,7 @@
             )
         except OSError as error:
             _log.critical("gateway_failed", reason=str(LogStopped(str(error))))
-            return _EXIT_LOG_STOPPED
+            return _EXIT_FAILED
         self._instances.attach(self._agreement, self._replica_gossip)
         await self._discovery.load()
         _log.info(
@@ -326,22 +330,33 @@
             )
             self._dispatcher = Dispatcher(self._routing, dependencies)
             frontend, control_servers = servers(self)
+            events = Queue()
             await group.spawn(
-                self._peers.run, self._instances.initial_peers(), self._receive
+                run_essential,
+                "peer_transport",
+                events,
+                self._peers.run,
+                self._instances.initial_peers(),
+                self._receive,
             )
-            events = Queue()
             await group.spawn(self._run_agreement, events)
             await group.spawn(_receive_signals, signals, events)
             for name, work in self._tasks(connection_pool).items():
                 await group.spawn(run_restarting, name, self._clock, work)
             for server in control_servers:
-                await group.spawn(server.run)
-            await group.spawn(self._start_serving, frontend.run)
+                await group.spawn(run_essential, "control_server", events, server.run)
+            await group.spawn(
+                run_essential,
+                "caller_server",
+                events,
+                self._start_serving,
+                frontend.run,
+            )
             while True:
                 match await events.get():
-                    case LogStopped() as failure:
+                    case LogStopped() | EssentialTaskEnded() as failure:
                         _log.critical("gateway_failed", reason=str(failure))
-                        return _EXIT_LOG_STOPPED
+                        return _EXIT_FAILED
                     case Signals.SIGHUP:
                         await self._reload(reload())
                     case _:
--- a/src/lovagetray/wire/_peers.py
+++ b/src/lovagetray/wire/_peers.py
@@ -162,23 +162,33 @@
             await queue.put(message)
 
     async def run(self, peers: dict[str, Address], handler: MessageHandler) -> None:
-        """Exchange messages with `peers` until cancelled."""
+        """Exchange messages with `peers` until cancelled.
+
+        Raises
+        ------
+        ZMQError
+            If the address of this instance cannot be bound.
+        """
         try:
+            listener = self._bind()
             async with TaskGroup(wait=any) as group:
                 self._group = group
-                await group.spawn(self._receive, handler)
+                await group.spawn(self._receive, listener, handler)
                 for name, address in peers.items():
                     await self.add(name, address)
         finally:
             self._context.destroy(linger=200)
 
-    async def _receive(self, handler: MessageHandler) -> None:
+    def _bind(self) -> Any:
         socket = self._context.socket(ROUTER)
         socket.setsockopt(RCVHWM, _HIGH_WATER_MARK)
         socket.setsockopt(MAXMSGSIZE, _MAX_MESSAGE_BYTES)
         socket.bind(f"tcp://{self._address}")
+        return socket
+
+    async def _receive(self, listener: Any, handler: MessageHandler) -> None:
         while True:
-            _, *frames = await _receive_frames(socket)
+            _, *frames = await _receive_frames(listener)
             match decode_envelope(frames):
                 case Result(tag="ok", ok=envelope):
                     try:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -42,11 +42,20 @@
     process: Popen[bytes]
 
 
-def free_ports(count: int) -> list[int]:
-    """Return a number of TCP ports on 127.0.0.1 that are free at present."""
+def reserve_ports(count: int) -> list[socket]:
+    """Return sockets bound to free TCP ports on 127.0.0.1.
+
+    Until they are closed, no other process is given their ports there.
+    """
     sockets = [socket() for _ in range(count)]
     for bound in sockets:
         bound.bind(("127.0.0.1", 0))
+    return sockets
+
+
+def free_ports(count: int) -> list[int]:
+    """Return a number of TCP ports on 127.0.0.1 that are free at present."""
+    sockets = reserve_ports(count)
     ports = [bound.getsockname()[1] for bound in sockets]
     for bound in sockets:
         bound.close()
--- a/tools/platform_stand_in/fleet.py
+++ b/tools/platform_stand_in/fleet.py
@@ -12,10 +12,11 @@
 from time import monotonic, sleep
 from typing import Any, NamedTuple
 
-from fleet import free_ports
+from fleet import reserve_ports
 
 _REPLICAS_PROGRAM = str(Path(__file__).with_name("replicas.py"))
 HOST = "search.example"
+_PORT_NAMES = ("front", "ready", "control", "directory", "peer")
 SEED_HOSTS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
 
 
@@ -66,7 +67,10 @@
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
-        self._ports = free_ports(5)
+        # Held until the end: the gateways of fleets that run at the same time have the
+        # same addresses, and would take each other's ports.
+        self._reserved = reserve_ports(len(_PORT_NAMES))
+        self._ports = [bound.getsockname()[1] for bound in self._reserved]
         self.gateways: list[GatewayProcess] = []
         self._replicas: Popen[str] | None = None
         self._replica_count = 0
@@ -79,13 +83,19 @@
         folder.mkdir(parents=True, exist_ok=True)
 
     def stop(self) -> None:
-        """End all processes of the fleet."""
+        """End all processes of the fleet and release its ports."""
         for gateway in self.gateways:
             gateway.process.kill()
             gateway.process.wait()
         if self._replicas is not None:
             self._replicas.kill()
             self._replicas.wait()
+        for bound in self._reserved:
+            bound.close()
+
+    def port(self, name: str) -> int:
+        """Return a port that all gateways have: front, ready, control, ..., or peer."""
+        return self._ports[_PORT_NAMES.index(name)]
 
     def start(self, gateways: int = 3, disks: int = 3) -> None:
         """Start gateways for the first time.
