End an entry instance that has lost one of its servers

The same fault as in the gateway: with its peer port in use, or once its replicated log had ended, an entry instance ran on without a word. 'A port of an entry instance is in use' fails on (a traceback; not ended after 30 s) and passes now.

A port that another fleet has taken gives the pair of errors that it names, a step that times out and a traceback in a log. That it was the cause then is inferred, as the output was not kept.

--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -1,8 +1,12 @@
 """Steps that run entry instances and targets as processes and search through them."""
 
+from configparser import ConfigParser
+from json import loads
+from shutil import rmtree
+
 from behave import given, then, when
 from behave.runner import Context
-from fleet import Fleet
+from fleet import Fleet, free_ports
 
 _SERVICE = "kallioniemi/invoices"
 
@@ -49,3 +53,32 @@
 def check_missing(context: Context, shard: int) -> None:
     missing = [gap["shard"] for gap in context.answer["coverage"]["missing"]]
     assert missing == [shard], context.answer["coverage"]
+
+
+@when("the second one is started again while its {name} port is in use")
+def start_with_port_in_use(context: Context, name: str) -> None:
+    fleet = context.fleet
+    other = "peer" if name == "http" else "http"
+    path = fleet.entries[1].settings
+    settings = ConfigParser()
+    settings.read(path)
+    # The running process has the port of the name, and its own folder.
+    settings["instance"][f"{other}_port"] = str(free_ports(1)[0])
+    folder = settings["instance"]["data_folder"] = str(context.folder / "second")
+    rmtree(folder, ignore_errors=True)
+    with path.open("w") as file:
+        settings.write(file)
+    context.running = fleet.entries[1]
+    fleet.restart_entry(1)
+    context.exit_code = fleet.entries[1].process.wait(30)
+    fleet.entries[1] = context.running
+
+
+@then("it exits with code {code:d} and logs that the task {task} has ended")
+def check_failed_start(context: Context, code: int, task: str) -> None:
+    lines = (context.folder / "entry-2.log").read_text().splitlines()
+    assert context.exit_code == code, (context.exit_code, lines)
+    reasons = [loads(line)["reason"] for line in lines if "instance_failed" in line]
+    assert len(reasons) == 1, lines
+    assert f"'{task}' has ended" in reasons[0], reasons
+    assert "in use" in reasons[0], reasons
--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -23,3 +23,15 @@
     And a caller searches for "wedding album"
     Then the answer includes 3 of 4 shards
     And the answer names shard 2 as missing
+
+  Scenario Outline: A port of an entry instance is in use
+    Guards against a process that goes on running without one of its servers: nobody
+    starts it again, and nothing says why it does not serve.
+    Given 2 entry instances and a service of 1 shards with 1 replicas
+    When the second one is started again while its <port> port is in use
+    Then it exits with code 1 and logs that the task <task> has ended
+
+    Examples:
+      | port | task           |
+      | http | caller_server  |
+      | peer | peer_transport |
--- a/src/lovagetray/entry/_instance.py
+++ b/src/lovagetray/entry/_instance.py
@@ -1,15 +1,21 @@
 """An entry instance, assembled from state, commands, queries and connections."""
 
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from signal import SIGINT, SIGTERM
 
-from curio import TaskGroup
+from curio import Queue, TaskGroup
 from structlog import get_logger
 
 from lovagetray._clock import Clock
 from lovagetray._peer_messages import AgreementMessage, Envelope, Heartbeat, Stopped
 from lovagetray._process_settings import ProcessSettings
 from lovagetray._signals import SignalListener
+from lovagetray._task_failures import (
+    EssentialTaskEnded,
+    run_essential,
+    run_restarting,
+)
 from lovagetray._telemetry import (
     AGREEMENT_LEADS,
     AGREEMENT_TERM,
@@ -57,6 +63,8 @@
 _FAILURE_TIMEOUT = timedelta(milliseconds=1500)
 _MAINTENANCE_INTERVAL = timedelta(seconds=1)
 _TARGET_RETENTION = timedelta(minutes=1)
+# Exit code of an instance that has lost a task that it cannot do without.
+_EXIT_FAILED = 1
 _POLL_INTERVAL = timedelta(milliseconds=100)
 _RELEASE_TIMEOUT = timedelta(seconds=5)
 _LEADERSHIP_TRANSFER_TIMEOUT = timedelta(seconds=3)
@@ -104,18 +112,45 @@
         async with TaskGroup(wait=None) as group:
             self._targets = self._target_access(group)
             server = HttpServer(self._router().handle, encode_failure, self._clock)
-            listener = server.listen(self._settings.http_address)
-            await group.spawn(self._peers.run, self._settings.peers, self._receive)
-            await group.spawn(self._agreement.run)
-            await group.spawn(self._replicated_ledger.run)
-            await group.spawn(self._targets.run)
-            await group.spawn(self._run_maintenance, server)
-            await group.spawn(server.run, listener)
+            events = Queue()
+            for task, work in self._essential_tasks(server).items():
+                await group.spawn(run_essential, task, events, work)
+            for task, work in self._restarting_tasks(server).items():
+                await group.spawn(run_restarting, task, self._clock, work)
             await group.spawn(self._start_serving)
-            await signals.receive()
+            failure = await _wait_for_end(signals, events)
+            if failure is not None:
+                _log.critical("instance_failed", reason=str(failure))
+                return _EXIT_FAILED
             await self._stop(server, signals)
         return 0
 
+    def _essential_tasks(
+        self, server: HttpServer
+    ) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return the tasks, by name, without which the instance is of no use."""
+
+        async def serve() -> None:
+            await server.run(server.listen(self._settings.http_address))
+
+        return {
+            "caller_server": serve,
+            "peer_transport": lambda: self._peers.run(
+                self._settings.peers, self._receive
+            ),
+            "agreement": self._agreement.run,
+        }
+
+    def _restarting_tasks(
+        self, server: HttpServer
+    ) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return the tasks, by name, that run until the process ends."""
+        return {
+            "ledger": self._replicated_ledger.run,
+            "targets": self._targets.run,
+            "maintenance": lambda: self._run_maintenance(server),
+        }
+
     async def _start_serving(self) -> None:
         """Serve once the settings are current, so that no outdated ones take effect."""
         has_disk = self._settings.data_folder is not None
@@ -268,6 +303,16 @@
         return self._members.time_since_heard(name, self._clock.monotonic_time())
 
 
+async def _wait_for_end(
+    signals: SignalListener, events: Queue
+) -> EssentialTaskEnded | None:
+    """Wait for a signal or the end of an essential task, and return the latter."""
+    async with TaskGroup(wait=any) as group:
+        signalled = await group.spawn(signals.receive)
+        await group.spawn(events.get)
+    return None if group.completed is signalled else group.completed.result
+
+
 def _own_record(settings: ProcessSettings, clock: Clock) -> InstanceRecord:
     incarnation = f"{clock.now():%Y%m%dT%H%M%S.%f}"
     return InstanceRecord(
