Deliver an outcome if the handling of a reply fails

The task of a connection forgot the exchange before it handed over the reply, so an exception in between left the request to its time limit. 'The receiver of a reply fails' fails on ('ASSERT FAILED: []', no outcome within 30 s) and passes now.

--- a/features/hostile_replicas.feature
+++ b/features/hostile_replicas.feature
@@ -128,6 +128,13 @@
     When a request is sent to it and the decoder fails
     Then the exchange fails with connection_lost
 
+  Scenario: The receiver of a reply fails
+    Guards against a request without an outcome after an exception between the arrival of
+    its reply and the end of its handling.
+    Given a replica that sends each response
+    When a request is sent to it and the receiver of its reply fails
+    Then the exchange fails with connection_lost
+
   Scenario: Any bytes
     Guards against an exception, or a request without an outcome, for bytes that no test
     names.
--- a/features/steps/hostile_replica_steps.py
+++ b/features/steps/hostile_replica_steps.py
@@ -210,6 +210,27 @@
     _run(context, lambda pool, notice: _exchange(context, pool, notice, 1), decode)
 
 
+class _FailingWaiter(RecordingWaiter):
+    """Receiver that fails for replies, but not for failures."""
+
+    async def deliver(self, exchange: Exchange, outcome: Any) -> None:
+        """Record a failure."""
+        if hasattr(outcome, "status"):
+            raise OverflowError("a number is too large")
+        await super().deliver(exchange, outcome)
+
+
+@when("a request is sent to it and the receiver of its reply fails")
+def send_with_failing_receiver(context: Context) -> None:
+    async def work(pool: ConnectionPool, notice: Any) -> None:
+        waiter = _FailingWaiter()
+        assert await pool.start(_make_exchange(notice, 0, waiter))
+        await ignore_after(_PATIENCE_SECONDS, waiter.done.wait())
+        context.outcomes = waiter.outcomes
+
+    _run(context, work)
+
+
 @when("a second request waits and the replica announces another address")
 def move_replica(context: Context) -> None:
     async def work(pool: ConnectionPool, notice: Any) -> None:
--- a/src/lovagetray/targets/_channel.py
+++ b/src/lovagetray/targets/_channel.py
@@ -47,7 +47,11 @@
     """Receiver of the outcome of an exchange."""
 
     async def deliver(self, exchange: "Exchange", outcome: Outcome) -> None:
-        """Handle the outcome of an exchange; called once for each exchange."""
+        """Handle the outcome of an exchange.
+
+        This is called once for each exchange, and with a failure after an exception in
+        the first call.
+        """
 
 
 @dataclass(slots=True, eq=False)
@@ -283,12 +287,13 @@
         # Without an id, a late second response to this request could not be told from
         # the response to the next one, so the connection is not used again.
         self._broken = self._broken or not reply.request_id
-        self._exchange = None
         self._received_response = True
         # If the request is not completely sent yet, the replica would read the rest of
         # it as the start of the next request.
         self._broken = self._broken or self._sending
+        # If this fails, the end of the task still delivers an outcome.
         await exchange.waiter.deliver(exchange, reply)
+        self._exchange = None
         if not self._broken:
             self.idle_since = self._clock.monotonic_time()
             queued = self._on_idle(self)
