Do not begin to serve during a planned stop

A gateway that is told to stop while it starts could catch up during its grace period and begin to accept callers, whose requests nobody waited for at the exit. 'A server closes before it serves' failed before (the connection was accepted) and passes now.

--- a/features/caller_connection.feature
+++ b/features/caller_connection.feature
@@ -109,6 +109,20 @@
     And while half a request has arrived on one connection and none on another
     Then all 22 requests are answered once they are complete
 
+  Scenario: A server closes while requests have arrived on kept connections
+    Guards against requests that had arrived when a loaded server closed, and whose
+    connections were reset because the server had not read them yet.
+    Given a server that echoes the path
+    When it closes right after 20 callers have sent a request on a kept connection
+    Then all 20 requests are answered once they are complete
+
+  Scenario: A server closes before it serves
+    Guards against a server that starts to accept connections after it was closed: nobody
+    would wait for their requests.
+    Given a server that was closed before it started
+    When a caller connects
+    Then the connection is refused
+
   Scenario: A server closes while a connection has carried no request
     Guards against a planned stop that waits until the kill for a connection that nobody
     uses, and against a first request that is cut because its connection stayed open.
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -34,7 +34,9 @@
         handler_fails: bool = False,
         body: bytes = b"",
         length_of_head: int | None = None,
+        closed_before_start: bool = False,
     ) -> None:
+        self._closed_before_start = closed_before_start
         self.limits = _LIMITS
         self._handler_fails = handler_fails
         self._body = body
@@ -71,6 +73,8 @@
         server = CallerServer(
             self._handle, encode_caller_failure, SystemClock(), lambda: self.limits
         )
+        if self._closed_before_start:
+            await server.close()
         task = await spawn(server.run, self.address)
         while not self._stop_requested.is_set():
             await sleep(_POLL_SECONDS)
@@ -83,6 +87,11 @@
                         # Nothing else runs before the server closes.
                         self._connect_callers(20)
                         await server.close()
+                    case "send and close":
+                        # The server does not run before it closes.
+                        for caller in self.waiting:
+                            caller.sendall(_request("/kept"))
+                        await server.close()
                     case "fail to accept":
                         self._fail_to_accept(server, 3)
                     case _:
@@ -272,6 +281,39 @@
     assert len(context.server.waiting) == count
 
 
+@when(
+    "it closes right after {count:d} callers have sent a request on a kept connection"
+)
+def close_with_kept(context: Context, count: int) -> None:
+    for _ in range(count):
+        caller = _connect(context)
+        caller.sendall(_request("/first"))
+        assert caller.recv(1000).startswith(b"HTTP/1.1 200 ")
+        context.server.waiting.append(caller)
+    context.server.send_command("send and close")
+
+
+@given("a server that was closed before it started")
+def start_closed_server(context: Context) -> None:
+    context.fleet = context.server = CallerServerThread(0, closed_before_start=True)
+
+
+@when("a caller connects")
+def connect_to_closed(context: Context) -> None:
+    # The task of the server has run once its thread has started.
+    sleep_thread(20 * _POLL_SECONDS)
+    context.refused = False
+    try:
+        _connect(context).close()
+    except ConnectionRefusedError:
+        context.refused = True
+
+
+@then("the connection is refused")
+def check_refused(context: Context) -> None:
+    assert context.refused
+
+
 @when("while half a request has arrived on one connection and none on another")
 def complete_requests(context: Context) -> None:
     context.half.sendall(_request("/half")[10:])
--- a/src/lovagetray/gateway/_gateway.py
+++ b/src/lovagetray/gateway/_gateway.py
@@ -413,8 +413,10 @@
         caught_up = await wait_until_caught_up(self._agreement, self._clock, timeout)
         while self._routing.table is None:
             await self._clock.sleep(_POLL_INTERVAL)
-        if self._members.own_record.state is InstanceState.STARTING:
-            await self._instances.change_state(InstanceState.SERVING)
+        if self._members.own_record.state is not InstanceState.STARTING:
+            # The signal to stop came first.
+            return
+        await self._instances.change_state(InstanceState.SERVING)
         _log.info(
             "gateway_serving",
             address=str(self._settings.addresses.front),
--- a/src/lovagetray/wire/_caller_server.py
+++ b/src/lovagetray/wire/_caller_server.py
@@ -52,6 +52,7 @@
         self._limits = limits
         self._connections: set[CallerConnection] = set()
         self._draining = False
+        self._closed = False
         self._accept_task: Task | None = None
 
     @property
@@ -70,7 +71,12 @@
         self._draining = True
 
     async def run(self, address: Address) -> None:
-        """Serve until cancelled; after `close`, only connections that remain open."""
+        """Serve until cancelled; after `close`, only connections that remain open.
+
+        A server that is closed already returns at once.
+        """
+        if self._closed:
+            return
         listener = tcp_server_socket(
             address.host, address.port, backlog=_BACKLOG, reuse_address=True
         )
@@ -87,7 +93,7 @@
         Requests in flight continue, as do new connections, because their first request
         may be on its way.
         """
-        self._draining = True
+        self._draining = self._closed = True
         if self._accept_task is not None:
             await self._accept_task.cancel()
         now = self._clock.monotonic_time()
