--- a/features/steps/relay_process_steps.py
+++ b/features/steps/relay_process_steps.py
@@ -5,7 +5,7 @@
 
 from behave import then, when
 from behave.runner import Context
-from platform_stand_in.fleet import HOST, PlatformFleet
+from platform_stand_in.fleet import HOST, FleetTimeout, PlatformFleet
 
 # A subscriber is told of a change at once, or by its next poll after 500 ms.
 _DISSEMINATION_SECONDS = 1.5
@@ -146,7 +146,15 @@
             and (missing is None or _address(context, missing) not in listed)
         )
 
-    fleet.wait_until(all_same)
+    try:
+        fleet.wait_until(all_same)
+    except FleetTimeout:
+        lists: dict[tuple[str, ...], list[int]] = {}
+        for number in _running(context):
+            lists.setdefault(tuple(_listed(fleet, number)), []).append(number)
+        raise AssertionError(
+            f"lists and the gateways that have them: {lists}"
+        ) from None
 
 
 def _running(context: Context) -> list[int]:
