Report a fleet that does not recover as a problem of the soak

The soak waited for AssertionError, but a fleet that does not serve in time raises FleetTimeout: the run would have ended with a traceback and without its other seeds.

--- a/features/fault_soak.feature
+++ b/features/fault_soak.feature
@@ -29,3 +29,9 @@
       | no answer to a request that ran               | got no answer         |
       | an answer of a replica that left 4 s before   | said that it leaves   |
       | 3 answers of a replica that wants none        | while it refused them |
+
+  Scenario: The checks of the soak detect a fleet that does not recover
+    Guards against a soak that ends with an exception in place of a report, and leaves out
+    the seeds after it.
+    When a fleet does not serve within its time limit after the last fault
+    Then the soak reports "no complete answers after the last fault"
--- a/features/steps/fault_soak_steps.py
+++ b/features/steps/fault_soak_steps.py
@@ -2,6 +2,7 @@
 
 from behave import then, when
 from behave.runner import Context
+from platform_stand_in.fleet import FleetTimeout, PlatformFleet
 from soak.promises import Answer, ConfigRead, Promises
 from soak.replica_promises import (
     Delivery,
@@ -9,7 +10,7 @@
     ReplicaEvent,
     leaving_problems,
 )
-from soak.run import SoakRun
+from soak.run import SoakRun, recovery_problems
 
 _LOW, _HIGH = b"a" * 16, b"b" * 16
 # The requests that two replicas ran, in order.
@@ -28,6 +29,20 @@
     assert not context.problems, context.problems
 
 
+class _SilentFleet(PlatformFleet):
+    """A fleet that never serves."""
+
+    def wait_serving(self, shards: int, path: str = "/all/q") -> None:
+        """Fail as if the time limit had passed."""
+        raise FleetTimeout("a condition did not hold")
+
+
+@when("a fleet does not serve within its time limit after the last fault")
+def end_without_recovery(context: Context) -> None:
+    context.fleet = _SilentFleet(context.folder / "soak")
+    context.problems = recovery_problems(context.fleet)
+
+
 @when("a caller sees an answer of a replica that left 4 s before")
 def see_answer_after_leaving(context: Context) -> None:
     events = [
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -12,7 +12,7 @@
 from time import monotonic, sleep
 from typing import NamedTuple
 
-from platform_stand_in.fleet import HOST, PlatformFleet
+from platform_stand_in.fleet import HOST, FleetTimeout, PlatformFleet
 from platform_stand_in.replicas import REFUSAL_SECONDS
 from soak.link_proxy import LinkProxies, LinkState
 from soak.promises import Answer, ConfigRead, Promises
@@ -170,11 +170,7 @@
         for name in self._links.ports:
             self._links.change(name, LinkState())
         self._fleet.send_command(restart=True)
-        try:
-            self._fleet.wait_serving(len(_SHARDS))
-        except AssertionError as error:
-            return [f"no complete answers after the last fault: {error}"]
-        return []
+        return recovery_problems(self._fleet)
 
     # Faults.
 
@@ -364,3 +360,12 @@
         return Answer(request_id, kind, 0, {}, b"")
     lowered = {name.lower(): value for name, value in response.getheaders()}
     return Answer(request_id, kind, response.status, lowered, body)
+
+
+def recovery_problems(fleet: PlatformFleet) -> list[str]:
+    """Return a problem if a fleet without faults does not serve in time."""
+    try:
+        fleet.wait_serving(len(_SHARDS))
+    except FleetTimeout as error:
+        return [f"no complete answers after the last fault: {error}"]
+    return []
