--- a/src/lovagetray/wire/_peers.py
+++ b/src/lovagetray/wire/_peers.py
@@ -60,6 +60,9 @@
 _MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 _HEARTBEAT_INTERVAL = timedelta(milliseconds=500)
 _UNHEARD_PEER_INTERVAL = timedelta(milliseconds=100)
+# Other messages show that this instance is alive, but not its state. A heartbeat goes
+# with them this often, because the one that announced a change may have been lost.
+_STATE_INTERVAL = timedelta(seconds=1)
 # A machine without power does not answer a connection attempt, and the operating system
 # repeats a lost one only after a second; instances are at most 2 ms apart.
 _CONNECT_TIMEOUT = timedelta(milliseconds=400)
@@ -81,7 +84,8 @@
     Parameters
     ----------
     heartbeat
-        Returns the message that is sent to a peer after `interval` without another one.
+        Returns the message that is sent to a peer after `interval` without another one,
+        and beside others at least every second.
     time_since_heard
         Returns the time since the last message from a peer.
     failure_timeout
@@ -213,6 +217,7 @@
         queue = self._queues[name]
         connected_at = self._clock.monotonic_time()
         is_open = True
+        state_due_at = connected_at
         while True:
             is_close = self._is_close(name)
             interval = self._interval if is_close else self._distant_interval
@@ -226,10 +231,16 @@
                 case Result(tag="ok", ok=first):
                     messages = await _take_queued(first, queue)
                 case _:
-                    messages = [self._heartbeat()]
+                    messages = []
+            now = self._clock.monotonic_time()
+            if not messages or now >= state_due_at:
+                messages.append(self._heartbeat())
+                state_due_at = now + max(interval, _STATE_INTERVAL)
             for message in messages:
                 is_open = self._send_message(socket, name, message)
-            connection_age = self._clock.monotonic_time() - connected_at
+            if not is_open:
+                state_due_at = now
+            connection_age = now - connected_at
             silence = min(self._time_since_heard(name), connection_age)
             if is_close and silence > self._failure_timeout:
                 return
