Let an instance with a disk answer the leader before it knows all relays

Right after the start it had been told of two of three relays; the third, the leader, sends it the log itself, and its replies were dropped, as it exchanged messages with the two only.

It now exchanges messages with the leader as well.

--- a/src/lovagetray/gateway/_instances.py
+++ b/src/lovagetray/gateway/_instances.py
@@ -286,15 +286,25 @@
         for known in self._known():
             record = known.record
             await self._meet(record.instance.name, record.peer_address)
-        for name in self.relays.others:
+        needed = set(self.relays.names) | self._direct_feeders()
+        for name in needed - {self._name}:
             await self.add_peer(name, Address.parse(name))
         if not self.relays.is_relay:
-            needed = set(self.relays.names)
             if not self._hears_any(needed):
                 needed |= {str(seed) for seed in self._seeds}
             for name in set(self.peers.names) - needed:
                 await self.peers.remove(name)
 
+    def _direct_feeders(self) -> set[str]:
+        """Return the leader if it sends the replicated log to this instance itself.
+
+        It does so to each instance with a disk, and needs the replies. Before the log
+        names the voters, this instance may take others for the relays.
+        """
+        capacity = self.members.own_capacity
+        leader = self._agreement.leader
+        return {leader} if leader and capacity and capacity.disk else set()
+
     def _hears_any(self, names: Collection[str]) -> bool:
         """Return whether any of the other instances of some names was heard lately."""
         return any(
