--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -68,10 +68,11 @@
     rmtree(folder, ignore_errors=True)
     with path.open("w") as file:
         settings.write(file)
-    context.running = fleet.entries[1]
+    running = fleet.entries[1]
     fleet.restart_entry(1)
+    # The fleet ends both processes, whatever comes of the second one.
+    fleet.entries.append(running)
     context.exit_code = fleet.entries[1].process.wait(30)
-    fleet.entries[1] = context.running
 
 
 @then("it exits with code {code:d} and logs that the task {task} has ended")
