--- a/src/lovagetray/cli/_main.py
+++ b/src/lovagetray/cli/_main.py
@@ -16,7 +16,7 @@
 
 _EPILOG = """exit codes:
   0  done
-  1  the request was refused or failed
+  1  the request was refused or failed; an instance has ended by itself
   2  wrong usage
   3  invalid settings
   4  no instance could be reached
