--- a/features/steps/gateway_process_steps.py
+++ b/features/steps/gateway_process_steps.py
@@ -33,7 +33,9 @@
     context.document = fleet.next_configuration(_SHARDS, (_SERVICE,), Version=7)
     fleet.wait_until(lambda: fleet.put_configuration(context.document).status == 200)
     fleet.wait_serving(len(_SHARDS))
-    fleet.wait_replicas_known()
+    if fleet.sources is None:
+        # Gateways of an earlier version may lack the metric.
+        fleet.wait_replicas_known()
 
 
 @given("the service works for {milliseconds:d} ms")
