--- a/review/lib2/replicas.py
+++ b/review/lib2/replicas.py
@@ -128,8 +128,7 @@
                 writer.write(
                     f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
                     f"Server-Stamp: {self.name}.{self.born}.{self.ran}\r\n"
-                    f"Content-Length: {len(_BODY)}\r\n\r\n".encode()
-                    + _BODY
+                    f"Content-Length: {len(_BODY)}\r\n\r\n".encode() + _BODY
                 )
         except (OSError, asyncio.IncompleteReadError):
             pass
