--- a/tools/platform_stand_in/fleet.py
+++ b/tools/platform_stand_in/fleet.py
@@ -192,6 +192,7 @@
         replicas: int = 3,
         work_ms: float = 5.0,
         records: int = 25,
+        slots: int = 5,
     ) -> None:
         """Start the replicas of services in one process.
 
@@ -203,6 +204,8 @@
             Time from a request to its response.
         records
             Records of 16 bytes in each response.
+        slots
+            Requests that each replica runs at the same time.
         """
         self._replica_count = len(services) * replicas
         control_addresses = [
@@ -222,6 +225,8 @@
                 str(work_ms),
                 "--records",
                 str(records),
+                "--slots",
+                str(slots),
             ],
             stdin=PIPE,
             stdout=PIPE,
--- a/tools/platform_stand_in/replicas.py
+++ b/tools/platform_stand_in/replicas.py
@@ -16,6 +16,7 @@
 
 RECORD_BYTES = 16
 _HEARTBEAT_INTERVAL_SECONDS = 0.5
+_CHUNK_BYTES = 16_000
 # Time for which a replica in mode "refuse" asks for no requests.
 REFUSAL_SECONDS = 1.5
 
@@ -39,6 +40,7 @@
         - silence: sends no response
         - extra: sends the response twice
         - unframed: sends no Content-Length and ends the body with the connection
+        - chunked: sends the body in chunks of 16,000 bytes
         - cut: closes the connection before the end of the body
         - encoded: labels the body as compressed with gzip
         - status X: answers with X in the place of the status
@@ -51,11 +53,14 @@
 class Replica:
     """A replica that listens on its own port."""
 
-    def __init__(self, name: str, service: str, zone: str, records: int) -> None:
+    def __init__(
+        self, name: str, service: str, zone: str, records: int, slots: int
+    ) -> None:
         self.name = name
         self.service = service
         self.zone = zone
         self.records = records
+        self.slots = slots
         self.behaviour = Behaviour()
         self.state = "ready"
         self.sequence = 0
@@ -123,7 +128,7 @@
                 "Address": f"127.0.0.1:{self.announced_port or self.port}",
                 "Zone": self.zone,
                 "Version": "v1",
-                "Slots": 5,
+                "Slots": self.slots,
                 "State": self.state,
                 "WarmupLeftMs": max(0, int((self.warm_at - monotonic()) * 1000)),
                 "Sequence": self.sequence,
@@ -212,7 +217,7 @@
         headers = {
             "Request-Id": request_id,
             "Server-Stamp": f"{self.name}.{len(self.received_requests)}",
-            "Server-Load": f"{self.in_flight},0,5",
+            "Server-Load": f"{self.in_flight},0,{self.slots}",
         }
         body = self._random.randbytes(RECORD_BYTES * self.records)
         if mode == "leaving":
@@ -230,6 +235,8 @@
             case "encoded":
                 headers["Content-Encoding"] = "gzip"
                 writer.write(_response(200, headers, body))
+            case "chunked":
+                writer.write(_chunked(_response(200, headers, b"", framed=False), body))
             case "cut":
                 writer.write(_response(200, headers, body)[:-3])
                 return False
@@ -258,6 +265,16 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
+def _chunked(head: bytes, body: bytes) -> bytes:
+    chunks = [
+        b"%x\r\n%b\r\n" % (len(chunk), chunk)
+        for start in range(0, len(body), _CHUNK_BYTES)
+        if (chunk := body[start : start + _CHUNK_BYTES])
+    ]
+    framing = b"Transfer-Encoding: chunked\r\n\r\n"
+    return b"".join([head[:-2], framing, *chunks, b"0\r\n\r\n"])
+
+
 async def send_request(
     address: str, method: str, path: str, body: str = ""
 ) -> tuple[int, bytes]:
@@ -304,6 +321,8 @@
                 replica.restart()
             if "warm_up_ms" in command:
                 replica.warm_at = monotonic() + command["warm_up_ms"] / 1000
+            if "records" in command:
+                replica.records = command["records"]
             if "state" in command:
                 replica.state = command["state"]
             if "announced_port" in command:
@@ -338,7 +357,9 @@
         for number in range(arguments.replicas):
             name = f"{service}-{number}"
             zone = f"zone-{number % arguments.zones + 1}"
-            replicas[name] = Replica(name, service, zone, arguments.records)
+            replicas[name] = Replica(
+                name, service, zone, arguments.records, arguments.slots
+            )
     for replica in replicas.values():
         replica.behaviour = Behaviour(arguments.work_ms)
         await replica.listen()
@@ -368,6 +389,9 @@
     parser.add_argument(
         "--records", type=int, default=25, help="records in the response of a replica"
     )
+    parser.add_argument(
+        "--slots", type=int, default=5, help="requests that a replica runs at a time"
+    )
     parser.add_argument("--work-ms", type=float, default=5.0)
     asyncio.run(_run(parser.parse_args()))
 
