Count the memory of a response before it is received

What callers saw: with MemoryMb 150 and responses of 900,000 bytes, 300 slow readers that came at once took 347 MB, so that the process would have ended on its machine, and with it the service of the instance.

Cause: a response counted only once it had been read from its replica. Until then 64 KB stood for each request, or the size of earlier responses, and the parts of gathered answers counted not at all while they waited for the last one.

Mend: the memory of a response is taken when its head states its length, and as it is read otherwise: for plain responses, parts of gathered ones, retries and hedges, each on the account of the process. A response that finds no room is given up: no retry or hedge follows, its replica is not blamed, and the connection of the caller is closed, as the request has run. The expected size of a route rises with the first head, so that the requests after it are refused before they run. The receive buffers of connections to replicas have a fixed size.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -1,6 +1,39 @@
 @misbehaving_clients
 Feature: Clients that do not behave cannot exhaust a process
 
+  Scenario Outline: A crowd of slow readers is the first that an instance serves
+    Guards against memory that is counted only after a response has been received: the
+    process took it for all callers at once, and ordinary callers lost their instance.
+    Given a gateway with 150 MB whose replicas answer with 900,000 bytes, <framing>
+    When a crowd of <count> slow readers comes at once for <requests> responses each
+    And it stays for 10 s
+    Then the process lives within 150 MB with its sockets and 1500 descriptors
+    And an ordinary request is answered afterwards
+
+    Examples:
+      | framing                     | count | requests |
+      | with their length           | 300   | 1        |
+      | with their length           | 900   | 1        |
+      | with their length           | 300   | 2000     |
+
+  Scenario: A crowd of slow readers gets long responses after short ones
+    Guards against memory that is reserved by the size of earlier responses alone.
+    Given a gateway with 150 MB whose replicas answer with 900,000 bytes, with their length
+    And 50 responses of 400 bytes were read before
+    When a crowd of 300 slow readers comes at once for 1 responses each
+    And it stays for 10 s
+    Then the process lives within 150 MB with its sockets and 1500 descriptors
+    And an ordinary request is answered afterwards
+
+  Scenario: A crowd asks for answers gathered from long parts while one shard is slow
+    Guards against parts of gathered answers that are kept uncounted until the last one
+    has come.
+    Given a gateway with 150 MB and 6 shards with parts of 320,000 bytes, one of them slow
+    When a crowd of 150 callers comes at once for answers from all shards
+    And it stays for 10 s
+    Then the process lives within 150 MB with its sockets and 1500 descriptors
+    And an answer from all shards is given once none of them is slow
+
   Scenario Outline: A crowd sends what is costly to parse
     Guards against an instance that does nothing but parse, so that ordinary callers
     wait until the crowd has left, and longer.
--- a/src/lovagetray/_routing_errors.py
+++ b/src/lovagetray/_routing_errors.py
@@ -155,6 +155,15 @@
         return f"no answer within {self.limit.total_seconds() * 1000:.0f} ms"
 
 
+class ResponseDropped(Struct, frozen=True):
+    """A request that has run and whose response found no room in memory."""
+
+    code: ClassVar[str] = "response_dropped"
+
+    def __str__(self) -> str:
+        return "no complete answer: no memory was free for the response"
+
+
 class KeyMissing(Struct, frozen=True):
     """A request without a key on a route that needs one."""
 
@@ -208,6 +217,7 @@
     | OverQuota
     | QuotaUnconfirmed
     | RequestFailed
+    | ResponseDropped
     | TimeLimitReached
     | KeyMissing
     | KeyMalformed
--- a/src/lovagetray/_target_errors.py
+++ b/src/lovagetray/_target_errors.py
@@ -55,6 +55,16 @@
         return f"replica {self.target!r} sent more than a response may have"
 
 
+class ResponseNotHeld(Struct, frozen=True):
+    """A response that was given up because this instance has no memory for it."""
+
+    code: ClassVar[str] = "response_not_held"
+    target: str
+
+    def __str__(self) -> str:
+        return f"no memory is free for the response of replica {self.target!r}"
+
+
 class NoReply(Struct, frozen=True):
     """The lack of a reply from a replica within the time limit of the exchange."""
 
--- a/src/lovagetray/commands/forwarding/_forward.py
+++ b/src/lovagetray/commands/forwarding/_forward.py
@@ -9,6 +9,7 @@
     ForwardFailure,
     RequestFailed,
     RequestNotRun,
+    ResponseDropped,
     TimeLimitReached,
 )
 from lovagetray._routing_types import CallerRequest, ReplicaReply, Route
@@ -18,6 +19,7 @@
     ServiceCall,
     response_cutoff,
 )
+from lovagetray.state import ResponseMemory
 
 _log = get_logger()
 # Full or draining replicas have capacity again after about the time of one request.
@@ -31,11 +33,17 @@
     request: CallerRequest,
     route: Route,
     service: str,
+    memory: ResponseMemory | None = None,
 ) -> Result[ReplicaReply, ForwardFailure]:
     """Return a replica's complete response, or why there is none.
 
     An error response of a replica is returned unchanged if no other attempt is
     possible.
+
+    Parameters
+    ----------
+    memory
+        Counts the bytes of the responses; by default without a limit.
     """
     clock = dependencies.clock
     started_at = clock.monotonic_time()
@@ -45,7 +53,14 @@
             _RETRY_AFTER_UNREACHABLE, dependencies.balancer.refused_for((service,), 1)
         )
         return Error(RequestNotRun("no replica can be reached", retry_after))
-    dispatch = Dispatch(dependencies, request, route, (service,), started_at + timeout)
+    dispatch = Dispatch(
+        dependencies,
+        request,
+        route,
+        (service,),
+        started_at + timeout,
+        memory=memory,
+    )
     try:
         await dispatch.start()
         await _wait_until_settled(
@@ -106,6 +121,8 @@
     if not dispatch.may_have_run:
         retry_after = max(_RETRY_AFTER_REFUSAL, refused_for)
         return Error(RequestNotRun("no replica accepted the request", retry_after))
+    if dispatch.lacked_memory:
+        return Error(ResponseDropped())
     if call.in_flight and stopped:
         return Error(RequestFailed("this instance has stopped waiting: it is stopping"))
     if call.in_flight:
--- a/src/lovagetray/gateway/_dispatcher.py
+++ b/src/lovagetray/gateway/_dispatcher.py
@@ -30,7 +30,13 @@
 from lovagetray.queries.admission import Admission
 from lovagetray.queries.dispatch import DispatchDependencies, can_be_served
 from lovagetray.queries.gathering import GatheredAnswer, gather
-from lovagetray.state import HeldBytes, RoutingState, RoutingTable, route_services
+from lovagetray.state import (
+    HeldBytes,
+    ResponseMemory,
+    RoutingState,
+    RoutingTable,
+    route_services,
+)
 
 _log = get_logger()
 # Histograms by outcome, looked up once because `labels` costs more than `observe`.
@@ -144,28 +150,30 @@
         refusal = self._admission.refusal(request, route, table)
         if refusal is not None:
             return Error(refusal)
-        reserved = self._held.reserve(route.name)
-        if reserved is None:
+        memory = self._held.reserve(route.name)
+        if memory is None:
             return Error(RequestNotRun(_NO_MEMORY, _RETRY_AFTER_MEMORY))
         size = None
         try:
-            result = await self._run(request, route)
+            result = await self._run(request, route, memory)
             size = _received_bytes(result)
             return result
         finally:
-            self._held.settle(route.name, reserved, size)
+            memory.end(size)
 
     async def _run(
-        self, request: CallerRequest, route: Route
+        self, request: CallerRequest, route: Route, memory: ResponseMemory
     ) -> Result[ReplicaReply | GatheredAnswer, ForwardFailure]:
         match route.destination:
             case GatherShards() as destination:
-                return await gather(self._dependencies, request, route, destination)
+                return await gather(
+                    self._dependencies, request, route, destination, memory
+                )
             case TrafficSplit(weighted_services=weighted_services):
                 service = self._round_robin.choose(route, weighted_services)
-                return await forward(self._dependencies, request, route, service)
             case OneService(service=service):
-                return await forward(self._dependencies, request, route, service)
+                pass
+        return await forward(self._dependencies, request, route, service, memory)
 
     def _can_be_served(self, request: CallerRequest, route: Route) -> bool:
         """Return whether a request can be answered before the instance stops."""
--- a/src/lovagetray/platform/_caller_handler.py
+++ b/src/lovagetray/platform/_caller_handler.py
@@ -23,13 +23,14 @@
     QuotaUnconfirmed,
     RequestFailed,
     RequestNotRun,
+    ResponseDropped,
     StateTooOld,
     TimeLimitReached,
 )
 from lovagetray._routing_types import CallerRequest, ReplicaReply
 from lovagetray.gateway import Gateway
 from lovagetray.queries.gathering import GatheredAnswer
-from lovagetray.wire import RawRequest, RawResponse, failure_status
+from lovagetray.wire import NoResponse, RawRequest, RawResponse, failure_status
 
 # Headers that apply to one connection only and are not forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -66,8 +67,8 @@
     def __init__(self, gateway: Gateway) -> None:
         self._gateway = gateway
 
-    async def handle(self, raw: RawRequest) -> RawResponse:
-        """Return the response to a caller's request."""
+    async def handle(self, raw: RawRequest) -> RawResponse | NoResponse:
+        """Return the response to a caller's request, if there can be one."""
         request = decode_request(raw)
         match await self._gateway.answer(request):
             case Result(tag="ok", ok=GatheredAnswer() as answer):
@@ -152,8 +153,8 @@
     return RawResponse(reply.status, headers, reply.body)
 
 
-def encode_failure(failure: ForwardFailure) -> RawResponse:
-    """Return the response to a request that failed or was refused."""
+def encode_failure(failure: ForwardFailure) -> RawResponse | NoResponse:
+    """Return the response to a request that failed or was refused, if there is one."""
     match failure:
         case NotStarted():
             return _error_response(503, str(failure), _NOT_STARTED_RETRY_AFTER)
@@ -169,6 +170,9 @@
             return _error_response(504, str(failure))
         case RequestFailed():
             return _error_response(502, str(failure))
+        case ResponseDropped():
+            # The request has run, so it cannot be refused.
+            return NoResponse()
         case StateTooOld(retry_after=retry_after):
             return _error_response(503, str(failure), retry_after)
         case KeyMissing() | KeyMalformed() | KeyUnknown():
--- a/src/lovagetray/queries/dispatch/_dispatch.py
+++ b/src/lovagetray/queries/dispatch/_dispatch.py
@@ -20,10 +20,15 @@
     RetrySafety,
     Route,
 )
-from lovagetray._target_errors import ConnectFailed, ConnectionLost, NotSent
+from lovagetray._target_errors import (
+    ConnectFailed,
+    ConnectionLost,
+    NotSent,
+    ResponseNotHeld,
+)
 from lovagetray._telemetry import DISPATCH_ATTEMPTS
 from lovagetray.queries.load_balancing import ExpectedWork, LoadBalancer
-from lovagetray.state import AnswerLimit
+from lovagetray.state import AnswerLimit, ResponseMemory, unlimited_memory
 from lovagetray.targets import ConnectionPool, Exchange, Outcome
 
 # With less time left before the deadline, an answer cannot be delivered any more.
@@ -159,6 +164,8 @@
     answer_due_at
         When the answer should be sent, on the monotonic clock; hedges are sent early
         enough for it. None if only the latency of other requests decides when.
+    memory
+        Counts the bytes of the responses; by default without a limit.
     """
 
     def __init__(
@@ -169,8 +176,10 @@
         services: tuple[str, ...],
         deadline: timedelta,
         answer_due_at: timedelta | None = None,
+        memory: ResponseMemory | None = None,
     ) -> None:
         self._dependencies = dependencies
+        self._memory = memory or unlimited_memory()
         self._request = request
         self._route = route
         self._deadline = deadline
@@ -202,6 +211,11 @@
         """Whether any replica may have run the request."""
         return any(call.may_have_run or call.in_flight for call in self.calls)
 
+    @property
+    def lacked_memory(self) -> bool:
+        """Whether a response was given up because there was no room for it."""
+        return self._memory.exhausted
+
     @property
     def expected_milliseconds(self) -> dict[str, float]:
         """The highest expected cost, as a field of a log line; empty if unknown."""
@@ -315,6 +329,11 @@
                 if exchange.abandoned_at is None:
                     balancer.record_connection_lost(replica)
                 await self._record_failure(call)
+            case ResponseNotHeld() as failure:
+                # The replica is sound: this instance lacks the memory.
+                call.last_failure = failure.code
+                call.may_have_run = True
+                await self._record_failure(call)
             case failure:
                 call.last_failure = failure.code
                 call.may_have_run = True
@@ -327,6 +346,7 @@
         if reply.succeeded:
             call.may_have_run = True
             call.reply = reply
+            self._memory.keep(len(reply.body))
             self.answered += 1
             if self._wake_on_any or self.settled:
                 await self._changed.set()
@@ -337,6 +357,9 @@
             # It must not reach the caller, who would take it for a success.
             call.last_failure = "unusable response"
         elif not reply.not_run:
+            if call.failure_reply is not None:
+                self._memory.keep(-len(call.failure_reply.body))
+            self._memory.keep(len(reply.body))
             call.failure_reply = reply
         await self._record_failure(call)
 
@@ -361,7 +384,7 @@
 
     def _may_retry(self, call: ServiceCall) -> bool:
         """Return whether the request may be sent to another replica."""
-        if call.attempts >= self._route.max_attempts:
+        if call.attempts >= self._route.max_attempts or self.lacked_memory:
             return False
         if self._route.retry_safety is RetrySafety.AT_MOST_ONCE:
             if call.may_have_run or call.in_flight:
@@ -395,6 +418,7 @@
             self._deadline,
             at_most_once=self._route.retry_safety is RetrySafety.AT_MOST_ONCE,
             bodiless=self._request.method == b"HEAD",
+            memory=self._memory,
         )
         call.tried.add(notice.replica)
         call.in_flight.append(exchange)
--- a/src/lovagetray/queries/gathering/_gather.py
+++ b/src/lovagetray/queries/gathering/_gather.py
@@ -11,6 +11,7 @@
     ForwardFailure,
     RequestFailed,
     RequestNotRun,
+    ResponseDropped,
     TimeLimitReached,
 )
 from lovagetray._routing_types import CallerRequest, GatherShards, Route
@@ -22,6 +23,7 @@
     completion_policy,
 )
 from lovagetray.queries.gathering._merge import greatest_records
+from lovagetray.state import ResponseMemory
 
 _log = get_logger()
 # Delay after which callers may retry. A crashed replica restarts or is replaced within
@@ -57,6 +59,7 @@
     request: CallerRequest,
     route: Route,
     destination: GatherShards,
+    memory: ResponseMemory | None = None,
 ) -> Result[GatheredAnswer, ForwardFailure]:
     """Return the merged answer once its coverage suffices, or the failure.
 
@@ -70,6 +73,8 @@
         Route of the request, with its target latency.
     destination
         Shards of the route and the coverage that an answer needs.
+    memory
+        Counts the bytes of the parts; by default without a limit.
     """
     clock = dependencies.clock
     started_at = clock.monotonic_time()
@@ -87,6 +92,7 @@
         destination.shards,
         started_at + timeout,
         policy.timely_at,
+        memory,
     )
     try:
         await dispatch.start()
@@ -170,6 +176,8 @@
     if not dispatch.may_have_run:
         retry_after = _retry_after(dependencies, destination)
         return Error(RequestNotRun("no replica accepted the request", retry_after))
+    if dispatch.lacked_memory:
+        return Error(ResponseDropped())
     if took >= timeout * 0.9:
         return Error(TimeLimitReached(timeout))
     return Error(RequestFailed(f"{missing} of {len(dispatch.calls)} shards failed"))
--- a/src/lovagetray/state/__init__.py
+++ b/src/lovagetray/state/__init__.py
@@ -33,7 +33,13 @@
     Evacuations,
     StartEvacuation,
 )
-from lovagetray.state._held_bytes import HeldBytes, HeldPart, held_limit
+from lovagetray.state._held_bytes import (
+    HeldBytes,
+    HeldPart,
+    ResponseMemory,
+    held_limit,
+    unlimited_memory,
+)
 from lovagetray.state._lease import LEASE_DURATION, LeaseView
 from lovagetray.state._ledger import (
     AlreadyBegun,
--- a/src/lovagetray/state/_held_bytes.py
+++ b/src/lovagetray/state/_held_bytes.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from enum import Enum
+from sys import maxsize
 
 _MEGABYTE = 1024 * 1024
 # The smallest machines have 200 MB.
@@ -96,51 +97,136 @@
         """Subtract bytes that are no longer held."""
         self._held[part] -= size
 
-    def make_room(self, part: HeldPart, size: int) -> bool:
+    def make_room(self, part: HeldPart, size: int, own: int = 0) -> bool:
         """Return whether bytes can be held, if need be after closing connections.
 
         A part that holds nothing takes any size, so that a single request is served
         however small the machine is.
+
+        Parameters
+        ----------
+        own
+            Bytes that are held already and do not count in this respect.
         """
-        if self._fits(part, size):
+        if self._fits(part, size, own):
             return True
         self.shed(part, self._held[part] + size - self._limits[part])
-        if self._fits(part, size):
+        if self._fits(part, size, own):
             return True
         self.refused(part)
         return False
 
-    def reserve(self, route: str) -> int | None:
+    def reserve(self, route: str) -> "ResponseMemory | None":
         """Reserve memory for the response of a route before its request is run.
 
         Returns
         -------
-        int or None
-            The reserved bytes, for `settle`; None if there is no room for a response
-            of the size expected on this route.
+        ResponseMemory or None
+            None if there is no room for a response of the size expected on this route.
         """
         size = int(self._expected.get(route, _INITIAL_EXPECTATION_BYTES))
         if not self.make_room(HeldPart.RESPONSES, size):
             return None
-        self._held[HeldPart.RESPONSES] += size
-        return size
+        return ResponseMemory(self, route, size)
+
+    def expect_at_least(self, route: str, size: int) -> None:
+        """Raise the expected size of the responses of a route, for later requests."""
+        if size > self._expected.get(route, _INITIAL_EXPECTATION_BYTES):
+            self._learn(route, size)
+
+    def learn(self, route: str, size: int) -> None:
+        """Learn from the size of a complete response of a route."""
+        previous = self._expected.get(route, 0)
+        self._learn(route, max(size, previous * _EXPECTATION_DECAY))
+
+    def _learn(self, route: str, size: float) -> None:
+        if len(self._expected) >= _MAX_ROUTES and route not in self._expected:
+            self._expected.clear()
+        self._expected[route] = size
+
+    def _fits(self, part: HeldPart, size: int, own: int) -> bool:
+        held = self._held[part]
+        return held <= own or held + size <= self._limits[part]
+
+
+class ResponseMemory:
+    """Memory for the response to one request, from before it runs until it is encoded.
+
+    Counts what was reserved for the request, or what replicas send for it if that is
+    more: also of retries and hedges, and of the parts of a gathered answer.
+
+    Parameters
+    ----------
+    account
+        Account that the bytes are held on.
+    reserved
+        Bytes that are held until `end` whether or not they are received.
+
+    Attributes
+    ----------
+    exhausted
+        Whether a response was given up because there was no room for it.
+    """
+
+    def __init__(self, account: HeldBytes, route: str, reserved: int) -> None:
+        self._account = account
+        self._route = route
+        self._reserved = reserved
+        self._receiving = 0
+        self._kept = 0
+        self._counted = 0
+        self.exhausted = False
+        self._count()
+
+    def take(self, size: int) -> bool:
+        """Count bytes of a response before they are received, if there is room."""
+        received = self._receiving + self._kept
+        needed = received + size - self._counted
+        # A response is served whatever its size if it is the only one.
+        own = 0 if received else self._counted
+        if needed > 0:
+            self._account.expect_at_least(self._route, received + size)
+            if not self._account.make_room(HeldPart.RESPONSES, needed, own):
+                self.exhausted = True
+                return False
+        self._receiving += size
+        self._count()
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Subtract bytes that were taken."""
+        self._receiving -= size
+        self._count()
+
+    def keep(self, size: int) -> None:
+        """Count bytes of a complete response that is needed until `end`.
+
+        The bytes that were taken for it are given back as well.
+        """
+        self._kept += size
+        self._count()
 
-    def settle(self, route: str, reserved: int, size: int | None) -> None:
-        """End a reservation and learn from the size of the response, if there is one.
+    def end(self, size: int | None) -> None:
+        """End the reservation and learn from the size of the response.
+
+        What replicas still send counts until it is given back.
 
         Parameters
         ----------
         size
             Bytes received for the response; None if there is no response.
         """
-        self._held[HeldPart.RESPONSES] -= reserved
-        if size is None:
-            return
-        if len(self._expected) >= _MAX_ROUTES and route not in self._expected:
-            self._expected.clear()
-        previous = self._expected.get(route, 0)
-        self._expected[route] = max(size, previous * _EXPECTATION_DECAY)
+        self._reserved = self._kept = 0
+        self._count()
+        if size is not None:
+            self._account.learn(self._route, size)
 
-    def _fits(self, part: HeldPart, size: int) -> bool:
-        held = self._held[part]
-        return held <= 0 or held + size <= self._limits[part]
+    def _count(self) -> None:
+        counted = max(self._reserved, self._receiving + self._kept)
+        self._account.hold(HeldPart.RESPONSES, counted - self._counted)
+        self._counted = counted
+
+
+def unlimited_memory() -> ResponseMemory:
+    """Return memory for responses that no limit applies to."""
+    return ResponseMemory(HeldBytes(maxsize), "", 0)
--- a/src/lovagetray/targets/_channel.py
+++ b/src/lovagetray/targets/_channel.py
@@ -1,7 +1,7 @@
 """A connection to a replica: carries one exchange at a time and is read by one task."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Any, Protocol
 
@@ -14,11 +14,13 @@
     ConnectFailed,
     ConnectionLost,
     NotSent,
+    ResponseNotHeld,
     ResponseTooLarge,
     WrongReply,
 )
 from lovagetray._task_failures import report_task_failure
 from lovagetray._types import Address
+from lovagetray.state import ResponseMemory, unlimited_memory
 from lovagetray.targets._response_parser import (
     RECEIVE_BYTES,
     BufferedBytes,
@@ -36,7 +38,12 @@
 _RESET_WAIT = timedelta(milliseconds=15)
 
 ChannelFailure = (
-    ConnectFailed | ConnectionLost | WrongReply | ResponseTooLarge | NotSent
+    ConnectFailed
+    | ConnectionLost
+    | WrongReply
+    | ResponseTooLarge
+    | ResponseNotHeld
+    | NotSent
 )
 # A plain union instead of a `Result`: each outcome is matched by its class.
 Outcome = ReplicaReply | ChannelFailure
@@ -79,6 +86,8 @@
         Monotonic time at which the request was handed to a connection; None before.
     abandoned_at
         Monotonic time from which the outcome is no longer needed; None before.
+    memory
+        Counts the bytes of the response.
     """
 
     notice: ReplicaNotice
@@ -90,6 +99,7 @@
     bodiless: bool = False
     sent_at: timedelta | None = None
     abandoned_at: timedelta | None = None
+    memory: ResponseMemory = field(default_factory=unlimited_memory)
 
 
 class Channel:
@@ -195,7 +205,7 @@
         """
         self._exchange = exchange
         self._carried_request = True
-        self._parser.bodiless = exchange.bodiless
+        self._parser.expect(exchange.memory, exchange.bodiless)
         exchange.sent_at = self._clock.monotonic_time()
         payload = exchange.payload
         try:
@@ -273,7 +283,10 @@
             # Only one request is in flight: a further response belongs to no request.
             if self._parser.has_more or not self._parser.keep_alive:
                 self._broken = True
-            await self._accept_reply(response)
+            try:
+                await self._accept_reply(response)
+            finally:
+                response.give_back()
 
     async def _accept_reply(self, raw: RawResponse) -> None:
         """Match a complete response to the exchange in flight."""
@@ -314,11 +327,13 @@
         if exchange is not None:
             await exchange.waiter.deliver(exchange, failure)
 
-    def _end_failure(self) -> ConnectFailed | ConnectionLost | ResponseTooLarge:
+    def _end_failure(self) -> ChannelFailure:
         """Return the failure of the exchange in flight if its connection ends."""
         exchange = self._exchange
         if exchange is not None and exchange.sent_at is None:
             return ConnectFailed(self.notice.replica)
+        if self._parser.lacks_memory:
+            return ResponseNotHeld(self.notice.replica)
         if self._parser.oversized:
             return ResponseTooLarge(self.notice.replica)
         return ConnectionLost(self.notice.replica)
--- a/src/lovagetray/targets/_response_parser.py
+++ b/src/lovagetray/targets/_response_parser.py
@@ -10,6 +10,7 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from lovagetray.state import ResponseMemory, unlimited_memory
 from lovagetray.wire import is_status
 
 RECEIVE_BYTES = 65536
@@ -21,6 +22,8 @@
 _MAX_HEAD_BYTES = 64 * 1024
 _MAX_HEADERS = 128
 _MAX_INFORMATIONAL_RESPONSES = 8
+# Numbers of more digits are far above the limit of the body.
+_MAX_LENGTH_DIGITS = 18
 # Longer idle timeouts make no difference; a faulty replica may announce any number.
 _MAX_IDLE_TIMEOUT_SECONDS = 3600
 
@@ -66,6 +69,10 @@
         Length of these parts in bytes.
     framed
         Whether a header delimits the body; otherwise the end of the connection does.
+    length
+        Length of the body in bytes if a header states it.
+    memory
+        Memory that `taken` bytes are counted on.
     """
 
     status: int = 0
@@ -74,6 +81,15 @@
     size: int = 0
     framed: bool = False
     head_complete: bool = False
+    length: int | None = None
+    memory: ResponseMemory | None = None
+    taken: int = 0
+
+    def give_back(self) -> None:
+        """Subtract the bytes of this response from those that are counted."""
+        if self.memory is not None:
+            self.memory.give_back(self.taken)
+        self.taken = 0
 
 
 class ResponseParser:
@@ -86,8 +102,8 @@
 
     Attributes
     ----------
-    bodiless
-        Whether the next response ends with its head.
+    lacks_memory
+        Whether the newest response was given up because there was no room for it.
     """
 
     def __init__(self, buffered: BufferedBytes) -> None:
@@ -98,9 +114,11 @@
         self._unparsed_bytes = 0
         self._informational_responses = 0
         self._started = False
-        self.bodiless = False
+        self._bodiless = False
+        self._memory = unlimited_memory()
         self.keep_alive = True
         self.oversized = False
+        self.lacks_memory = False
         self.idle_timeout: timedelta | None = None
 
     @property
@@ -108,6 +126,19 @@
         """Whether a response is complete, or another one has begun."""
         return bool(self._complete) or self._started
 
+    def expect(self, memory: ResponseMemory, bodiless: bool) -> None:
+        """Expect the response to a request that is sent now.
+
+        Parameters
+        ----------
+        memory
+            Counts the bytes of the response before they are received.
+        bodiless
+            Whether the response ends with its head.
+        """
+        self._memory = memory
+        self._bodiless = bodiless
+
     def feed(self, data: bytes) -> bool:
         """Parse received bytes.
 
@@ -122,7 +153,8 @@
         except (HttpParserError, HttpParserUpgrade):
             return False
         self.oversized = (
-            self._unparsed_bytes > _MAX_HEAD_BYTES + RECEIVE_BYTES
+            self.oversized
+            or self._unparsed_bytes > _MAX_HEAD_BYTES + RECEIVE_BYTES
             or len(self._response.headers) > _MAX_HEADERS
             or self._informational_responses > _MAX_INFORMATIONAL_RESPONSES
             or self._response.size > _MAX_BODY_BYTES
@@ -144,6 +176,8 @@
     def release(self) -> None:
         """Give up the response that is being received."""
         self._buffered.release(self._response.size)
+        for response in (self._response, *self._complete):
+            response.give_back()
 
     # Called by the parser.
 
@@ -158,6 +192,8 @@
         lowered = name.lower()
         if lowered in (b"content-length", b"transfer-encoding"):
             self._response.framed = True
+            if lowered == b"content-length" and value.isdigit():
+                self._response.length = int(value[:_MAX_LENGTH_DIGITS])
         elif lowered == b"keep-alive":
             self.idle_timeout = _idle_timeout(value)
         self._response.headers.append((name, value))
@@ -168,21 +204,37 @@
         Raises
         ------
         HttpParserError
-            If the status is none of HTTP; the parser then accepts no further bytes.
+            If the status is none of HTTP, or the body is too long or finds no room;
+            the parser then accepts no further bytes.
         """
         self._response.status = self._parser.get_status_code()
         if not is_status(self._response.status):
             raise HttpParserError(f"status {self._response.status}")
         self._response.head_complete = True
         self._unparsed_bytes = 0
-        if self.bodiless and self._response.status >= 200:
+        if self._response.status < 200:
+            return
+        if self._bodiless:
             # The parser expects a body from now on, so it can parse nothing else.
-            self.keep_alive = self.bodiless = False
+            self.keep_alive = self._bodiless = False
             self._complete.append(self._response)
             self._response = RawResponse()
+        elif self._response.length is not None:
+            if self._response.length > _MAX_BODY_BYTES:
+                self.oversized = True
+                raise HttpParserError("the body is too long")
+            self._take(self._response.length)
 
     def on_body(self, body: bytes) -> None:
-        """Append a part of the body."""
+        """Append a part of the body.
+
+        Raises
+        ------
+        HttpParserError
+            If there is no room for it.
+        """
+        if self._response.length is None:
+            self._take(len(body))
         self._response.body.append(body)
         self._response.size += len(body)
         self._buffered.hold(len(body))
@@ -201,6 +253,14 @@
             self._complete.append(self._response)
         self._response = RawResponse()
 
+    def _take(self, size: int) -> None:
+        """Count bytes of the response before they are received."""
+        if not self._memory.take(size):
+            self.lacks_memory = True
+            raise HttpParserError("no room for the response")
+        self._response.memory = self._memory
+        self._response.taken += size
+
 
 def _idle_timeout(value: bytes) -> timedelta | None:
     """Return the idle timeout in a `Keep-Alive` header, or None."""
--- a/src/lovagetray/wire/__init__.py
+++ b/src/lovagetray/wire/__init__.py
@@ -10,7 +10,7 @@
     failure_status,
     search_request,
 )
-from lovagetray.wire._caller_messages import RawRequest, RawResponse
+from lovagetray.wire._caller_messages import NoResponse, RawRequest, RawResponse
 from lovagetray.wire._caller_server import CallerServer
 from lovagetray.wire._connect import connect
 from lovagetray.wire._directory_codec import decode_directory, encode_directory
--- a/src/lovagetray/wire/_caller_connection.py
+++ b/src/lovagetray/wire/_caller_connection.py
@@ -38,6 +38,7 @@
 from lovagetray.wire._caller_messages import (
     FailureEncoder,
     Handler,
+    NoResponse,
     RawRequest,
     RawResponse,
     RequestFailure,
@@ -240,7 +241,11 @@
             request, self._request = self._request, None
             assert request is not None
             response = await self._handler(request)
-            self._load(response, self._draining())
+            match response:
+                case NoResponse():
+                    self.drop()
+                case RawResponse():
+                    self._load(response, self._draining())
             # The response is read as slowly as the caller likes, so only the pieces
             # that are left to be sent are kept meanwhile.
             del request, response
--- a/src/lovagetray/wire/_caller_messages.py
+++ b/src/lovagetray/wire/_caller_messages.py
@@ -1,6 +1,7 @@
 """Requests and responses of callers as they are on the wire."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from h11 import RemoteProtocolError
@@ -42,7 +43,12 @@
     body: bytes
 
 
-Handler = Callable[[RawRequest], Awaitable[RawResponse]]
+@dataclass(frozen=True)
+class NoResponse:
+    """The end of the connection in place of a response to a request that has run."""
+
+
+Handler = Callable[[RawRequest], Awaitable[RawResponse | NoResponse]]
 FailureEncoder = Callable[[RequestFailure], RawResponse]
 
 
--- a/src/lovagetray/wire/_connect.py
+++ b/src/lovagetray/wire/_connect.py
@@ -1,12 +1,17 @@
 """TCP connections to IP addresses."""
 
-from socket import AF_INET, SOCK_STREAM, socket
+from socket import AF_INET, SO_RCVBUF, SOCK_STREAM, SOL_SOCKET, socket
 
 from curio import CancelledError
 from curio.io import Socket
 
 from lovagetray._types import Address
 
+# Without a fixed size the kernel lets the buffer of each connection grow to some
+# megabytes when responses arrive faster than they are read, outside the resident memory
+# of the process and within that of the machine.
+_RECEIVE_BUFFER_BYTES = 65_536
+
 
 class TcpSocket(Socket):  # type: ignore[misc]
     """A curio socket that can also send without waiting."""
@@ -38,6 +43,7 @@
         If no connection can be established.
     """
     connection = TcpSocket(socket(AF_INET, SOCK_STREAM))
+    connection.setsockopt(SOL_SOCKET, SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
     try:
         await connection.connect((address.host, address.port))
     except (OSError, CancelledError):
