Drop the parts of a response that was given up at once

What callers saw: as with responses that state their length, 300 slow readers of responses in chunks took 242 MB at a MemoryMb of 150 although all bytes were counted.

Cause: the parser of a connection and its callbacks refer to each other, so the parts received before a response was given up stayed in memory until a garbage collection, after they had been given back on the account.

Mend: the end of a connection drops them.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -15,6 +15,8 @@
       | with their length           | 300   | 1        |
       | with their length           | 900   | 1        |
       | with their length           | 300   | 2000     |
+      | without their length        | 900   | 1        |
+      | in chunks                   | 300   | 1        |
 
   Scenario: A crowd of slow readers gets long responses after short ones
     Guards against memory that is reserved by the size of earlier responses alone.
--- a/src/lovagetray/targets/_response_parser.py
+++ b/src/lovagetray/targets/_response_parser.py
@@ -178,6 +178,10 @@
         self._buffered.release(self._response.size)
         for response in (self._response, *self._complete):
             response.give_back()
+        # The parser and its callbacks refer to each other, so this object stays until
+        # the next garbage collection.
+        self._response = RawResponse()
+        self._complete.clear()
 
     # Called by the parser.
 
