Test the memory of responses without processes, and a single caller

Two thousand requests of a fixed seed take, keep and give back memory in any order: the account returns to zero, and only one response alone may exceed the bound. A response that finds no memory isn't sent again, and the failure says that the request has run.

That a response found no room is a fact of its outcome, so the dispatch keeps it in place of the account.

--- a/features/fakes/replica_script.py
+++ b/features/fakes/replica_script.py
@@ -17,7 +17,7 @@
     ReplicaRun,
     ReplicaState,
 )
-from lovagetray._target_errors import ConnectFailed, ConnectionLost
+from lovagetray._target_errors import ConnectFailed, ConnectionLost, ResponseNotHeld
 from lovagetray.queries.dispatch import DispatchDependencies, RequestEncoder
 from lovagetray.queries.load_balancing import LoadBalancer, RetryBudget
 from lovagetray.state import AnswerLimit, Evacuations, ReplicaDirectory
@@ -97,6 +97,8 @@
                 outcome = _reply(503, "", b"", True)
             case "refuse":
                 outcome = ConnectFailed(replica)
+            case "no memory":
+                outcome = ResponseNotHeld(replica)
             case _:
                 outcome = ConnectionLost(replica)
         if isinstance(outcome, ReplicaReply):
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -45,6 +45,15 @@
     When an idempotent request is forwarded
     Then the response is the replica's failure with status 500
 
+  Scenario: No memory is free for a response
+    Guards against a retry or a hedge that takes the same memory again, and against a
+    refusal of a request that has run.
+    Given a service with 3 replicas
+    And every replica answers with no memory
+    When an idempotent request is forwarded
+    Then it fails with response_dropped
+    And 1 requests arrived
+
   Scenario Outline: A success that cannot be used is not passed on
     Guards against a spoiled answer that reaches the caller as a success (review/3), and
     against a refusal that says that the request has not run.
--- a/features/held_bytes.feature
+++ b/features/held_bytes.feature
@@ -54,3 +54,18 @@
     exceed its memory.
     Then a machine of 200 MB may hold 68 MB and 1950 connections of callers
     And a machine of 10 MB may hold 8 MB and 1950 connections of callers
+
+  Scenario: Responses, parts, retries and hedges in any order
+    Guards against bytes that stay on the account after their request has ended, and
+    against a response that is received without room.
+    Given an account with room for 100,000 bytes of responses
+    When 2,000 requests of seed 1 take, keep and give back memory in any order
+    Then the bytes held stayed within their bound, except for one response alone
+    And nothing is held after all have ended
+
+  Scenario: A response is longer than those before
+    Guards against requests that are run by the size of earlier responses although a
+    longer one has begun.
+    Given an account with room for 1,000,000 bytes of responses
+    When the first of a route states 900,000 bytes
+    Then a further request of the route is refused until it has ended
--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -63,3 +63,15 @@
     Examples:
       | port    | count | path              |
       | listing | 2000  | /-/resolve        |
+
+  Scenario Outline: A single request inside the limits is served in calm
+    Guards against bounds that meet a caller who is alone.
+    Given a gateway with 80 MB whose replicas answer with 3,900,000 bytes, <framing>
+    When a caller sends a body of <body>
+    Then the response has 3,900,000 bytes
+
+    Examples:
+      | framing                 | body                                 |
+      | with their length       | 262,144 bytes with its length        |
+      | in chunks               | 20,000 bytes in chunks of one byte   |
+      | without their length    | 262,144 bytes in one chunk           |
--- a/features/steps/held_bytes_steps.py
+++ b/features/steps/held_bytes_steps.py
@@ -2,6 +2,7 @@
 
 from contextlib import suppress
 from datetime import timedelta
+from random import Random
 from socket import SHUT_WR, SO_LINGER, SO_RCVBUF, SOL_SOCKET, create_connection, socket
 from struct import pack
 from time import monotonic, sleep
@@ -23,7 +24,7 @@
 from lovagetray.gateway._bounds import process_bounds
 from lovagetray.platform._control_handler import encode_control_failure
 from lovagetray.queries.load_balancing import LatencyPlacement
-from lovagetray.state import HeldBytes, HeldPart
+from lovagetray.state import HeldBytes, HeldPart, ResponseMemory
 from lovagetray.wire import (
     HttpLimits,
     HttpRequest,
@@ -260,6 +261,72 @@
     assert bounds.caller_connections == connections
 
 
+@given("an account with room for {size} bytes of responses")
+def make_account(context: Context, size: str) -> None:
+    # Responses have half of the account.
+    context.held = HeldBytes(2 * int(size.replace(",", "")))
+    context.routes = ("a", "b")
+
+
+@when("2,000 requests of seed {seed:d} take, keep and give back memory in any order")
+def run_requests(context: Context, seed: int) -> None:
+    random = Random(seed)
+    held = context.held
+    limit = held.limit(HeldPart.RESPONSES)
+    context.excess = []
+    running: list[tuple[ResponseMemory, list[int]]] = []
+    for _ in range(2_000):
+        memory = held.reserve(random.choice(context.routes))
+        if memory is not None:
+            running.append((memory, []))
+        for memory, taken in running:
+            size = random.randrange(1, limit // 3)
+            match random.choice(("take", "give back", "keep", "wait")):
+                case "take" if memory.take(size):
+                    taken.append(size)
+                case "give back" if taken:
+                    memory.give_back(taken.pop())
+                case "keep" if taken:
+                    size = taken.pop()
+                    memory.keep(size)
+                    memory.give_back(size)
+        if held.held(HeldPart.RESPONSES) > limit:
+            context.excess.append(len(running))
+        if running and random.random() < 0.6:
+            memory, taken = running.pop(random.randrange(len(running)))
+            memory.end(random.choice((None, 100, limit)))
+            for size in taken:
+                memory.give_back(size)
+    for memory, taken in running:
+        memory.end(None)
+        for size in taken:
+            memory.give_back(size)
+
+
+@then("the bytes held stayed within their bound, except for one response alone")
+def check_excess(context: Context) -> None:
+    assert set(context.excess) <= {1}, context.excess
+
+
+@then("nothing is held after all have ended")
+def check_all_ended(context: Context) -> None:
+    assert context.held.held(HeldPart.RESPONSES) == 0
+
+
+@when("the first of a route states {size} bytes")
+def state_length(context: Context, size: str) -> None:
+    context.memory = context.held.reserve("a")
+    assert context.memory.take(int(size.replace(",", "")))
+
+
+@then("a further request of the route is refused until it has ended")
+def check_refused_until_end(context: Context) -> None:
+    assert context.held.reserve("a") is None
+    context.memory.give_back(900_000)
+    context.memory.end(900_000)
+    assert context.held.reserve("a") is not None
+
+
 def _call(address: tuple[str, int], size: int) -> bytes:
     with create_connection(address, timeout=5) as caller:
         head = f"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: {size}\r\n\r\n"
--- a/features/steps/misbehaving_client_steps.py
+++ b/features/steps/misbehaving_client_steps.py
@@ -1,6 +1,7 @@
 """Steps for crowds of clients that do not behave, at gateways as processes."""
 
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPConnection, HTTPException, HTTPResponse
+from socket import create_connection
 from time import monotonic, sleep
 from typing import Any
 
@@ -204,6 +205,31 @@
     )
 
 
+@when("a caller sends a body of {size} bytes {framing}")
+def send_body(context: Context, size: str, framing: str) -> None:
+    body = b"x" * int(size.replace(",", ""))
+    match framing:
+        case "with its length":
+            head = f"POST /{_SERVICE}/1 HTTP/1.1\r\nHost: {HOST}\r\n"
+            request = f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+        case "in one chunk":
+            chunk = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+            request = _chunked(f"/{_SERVICE}/1") + chunk
+        case _:
+            chunks = b"1\r\nx\r\n" * len(body) + b"0\r\n\r\n"
+            request = _chunked(f"/{_SERVICE}/1") + chunks
+    with create_connection(context.addresses["front"], timeout=30) as caller:
+        caller.sendall(request)
+        response = HTTPResponse(caller)
+        response.begin()
+        context.response = response.status, len(response.read())
+
+
+@then("the response has 3,900,000 bytes")
+def check_response(context: Context) -> None:
+    assert context.response == (200, 3_900_000), context.response
+
+
 def _send_crowd(
     context: Context, count: int, behaviour: Behaviour, port: str = "front"
 ) -> None:
--- a/src/lovagetray/queries/dispatch/_dispatch.py
+++ b/src/lovagetray/queries/dispatch/_dispatch.py
@@ -200,6 +200,8 @@
         self.hedge_delay: timedelta | None = None
         self.hedges = 0
         self.retries = 0
+        # Whether a response was given up because there was no room for it.
+        self.lacked_memory = False
 
     @property
     def settled(self) -> bool:
@@ -211,11 +213,6 @@
         """Whether any replica may have run the request."""
         return any(call.may_have_run or call.in_flight for call in self.calls)
 
-    @property
-    def lacked_memory(self) -> bool:
-        """Whether a response was given up because there was no room for it."""
-        return self._memory.exhausted
-
     @property
     def expected_milliseconds(self) -> dict[str, float]:
         """The highest expected cost, as a field of a log line; empty if unknown."""
@@ -331,6 +328,7 @@
                 await self._record_failure(call)
             case ResponseNotHeld() as failure:
                 # The replica is sound: this instance lacks the memory.
+                self.lacked_memory = True
                 call.last_failure = failure.code
                 call.may_have_run = True
                 await self._record_failure(call)
--- a/src/lovagetray/state/_held_bytes.py
+++ b/src/lovagetray/state/_held_bytes.py
@@ -161,11 +161,6 @@
         Account that the bytes are held on.
     reserved
         Bytes that are held until `end` whether or not they are received.
-
-    Attributes
-    ----------
-    exhausted
-        Whether a response was given up because there was no room for it.
     """
 
     def __init__(self, account: HeldBytes, route: str, reserved: int) -> None:
@@ -175,7 +170,6 @@
         self._receiving = 0
         self._kept = 0
         self._counted = 0
-        self.exhausted = False
         self._count()
 
     def take(self, size: int) -> bool:
@@ -187,7 +181,6 @@
         if needed > 0:
             self._account.expect_at_least(self._route, received + size)
             if not self._account.make_room(HeldPart.RESPONSES, needed, own):
-                self.exhausted = True
                 return False
         self._receiving += size
         self._count()
