Serve connections that use much processor time in turns

What callers saw: while 50 senders of bodies in chunks of one byte were at the front or the control port, no ordinary caller was answered for as long as they stayed, nor were callers of an entry instance. 300 callers that pipelined requests for the metrics or the addresses had the same effect.

Cause: a task runs until it waits, and input that is always there never makes it wait. h11 takes 6 microseconds for each chunk, whatever its size, and blocks of 64 KB were parsed at once.

Mend: the processor time of each connection is measured, for its input and for the work on its requests. One that has used more than 5% of a processor and 5 ms is served in turns: one such connection at a time parses 2 KB, and all other tasks that are ready run before the next. Without others a turn follows at once. Bodies are collected in one buffer in place of an object for each chunk. The share is a setting of gateways and entry instances, and the turns are counted.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -77,6 +77,7 @@
       host = localhost
       http_port = 99999
       colour = blue
+      connection_share = 500
       [agreement]
       voters = entry-1 entry-7
       [peers]
@@ -94,6 +95,7 @@
       | instance  | http_port   |
       | instance  | peer_port   |
       | instance  | colour      |
+      | instance  | connection_share |
       | instance  | data_folder |
       | agreement | voters      |
       | peers     | entry-2     |
--- a/features/held_bytes.feature
+++ b/features/held_bytes.feature
@@ -69,3 +69,10 @@
     Given an account with room for 1,000,000 bytes of responses
     When the first of a route states 900,000 bytes
     Then a further request of the route is refused until it has ended
+
+  Scenario: A connection uses more processor time than its share
+    Guards against a caller who delays all others by what is costly to parse, and against
+    one who is delayed for long after a single long request.
+    Given a connection with a share of 5% of a processor
+    Then it may use 5 ms at once, and then 5 ms in 100 ms
+    And after any use it may use its share again within 1 s
--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -47,9 +47,13 @@
 
     Examples:
       | count | input                         | port    |
+      | 50    | bodies in chunks of one byte  | front   |
+      | 50    | bodies in chunks of one byte  | control |
       | 300   | heads byte by byte            | front   |
       | 300   | heads byte by byte            | control |
       | 300   | pipelined requests            | front   |
+      | 300   | pipelined metrics             | control |
+      | 300   | pipelined address lookups     | listing |
 
   Scenario Outline: A crowd of slow readers asks at the <port> port
     Guards against responses that the kernel holds beside the memory of the process.
@@ -64,6 +68,20 @@
       | port    | count | path              |
       | listing | 2000  | /-/resolve        |
 
+  Scenario Outline: A crowd comes to an entry instance
+    Guards against an entry instance that does nothing but parse, or that keeps what
+    callers do not read.
+    Given an entry instance
+    When a crowd of <crowd> to the http port
+    Then an ordinary request is answered while the crowd stays
+    And the process lives within 200 MB with its sockets and 1500 descriptors
+    And an ordinary request is answered afterwards
+
+    Examples:
+      | crowd                                                   |
+      | 50 senders of bodies in chunks of one byte comes        |
+      | 300 senders of pipelined metrics comes                  |
+
   Scenario Outline: A single request inside the limits is served in calm
     Guards against bounds that meet a caller who is alone.
     Given a gateway with 80 MB whose replicas answer with 3,900,000 bytes, <framing>
--- a/features/platform_formats.feature
+++ b/features/platform_formats.feature
@@ -20,6 +20,12 @@
       | the grace period is 1e300    | too large |
       | a list is nested 5,000 deep  | recursion |
 
+  Scenario: A share of the processor that is none
+    Guards against a connection that never, or always, waits for others.
+    Given the settings file of a gateway
+    When the variable LOVAGETRAY_CONNECTION_SHARE is 500
+    Then the file is refused and the problem names "LOVAGETRAY_CONNECTION_SHARE"
+
   Scenario: A gateway does not start with an invalid settings file
     Guards against a crash without an error message.
     Given the settings file of a gateway
--- a/features/steps/held_bytes_steps.py
+++ b/features/steps/held_bytes_steps.py
@@ -24,7 +24,7 @@
 from lovagetray.gateway._bounds import process_bounds
 from lovagetray.platform._control_handler import encode_control_failure
 from lovagetray.queries.load_balancing import LatencyPlacement
-from lovagetray.state import HeldBytes, HeldPart, ResponseMemory
+from lovagetray.state import HeldBytes, HeldPart, ProcessorUse, ResponseMemory
 from lovagetray.wire import (
     HttpLimits,
     HttpRequest,
@@ -327,6 +327,31 @@
     assert context.held.reserve("a") is not None
 
 
+@given("a connection with a share of 5% of a processor")
+def make_use(context: Context) -> None:
+    context.use = ProcessorUse(0.05)
+
+
+@then("it may use 5 ms at once, and then 5 ms in 100 ms")
+def check_share(context: Context) -> None:
+    now = timedelta(seconds=100)
+    context.use.record(timedelta(milliseconds=5), now)
+    assert not context.use.exceeds_share(now)
+    for _ in range(50):
+        context.use.record(timedelta(milliseconds=5), now)
+        assert context.use.exceeds_share(now)
+        now += timedelta(milliseconds=100)
+        assert not context.use.exceeds_share(now)
+
+
+@then("after any use it may use its share again within 1 s")
+def check_forgotten(context: Context) -> None:
+    now = timedelta(seconds=200)
+    context.use.record(timedelta(seconds=5), now)
+    assert context.use.exceeds_share(now)
+    assert not context.use.exceeds_share(now + timedelta(seconds=1))
+
+
 def _call(address: tuple[str, int], size: int) -> bytes:
     with create_connection(address, timeout=5) as caller:
         head = f"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: {size}\r\n\r\n"
--- a/features/steps/platform_format_steps.py
+++ b/features/steps/platform_format_steps.py
@@ -127,6 +127,12 @@
     _replace(context.path, "[Bounds]", "[Bounds")
 
 
+@when("the variable {name} is {value}")
+def set_variable(context: Context, name: str, value: str) -> None:
+    environ[name] = value
+    context.add_cleanup(environ.pop, name)
+
+
 @then("the instance is named by its peer address and knows the seeds' peer addresses")
 def check_settings(context: Context) -> None:
     settings = read_settings(context.path).ok
--- a/src/lovagetray/_gateway_settings.py
+++ b/src/lovagetray/_gateway_settings.py
@@ -7,6 +7,10 @@
 
 from lovagetray._types import Address, InstanceCapacity
 
+# Share of a processor. A request with a head of usual size costs 0.1 to 0.5 ms, so that
+# no caller inside the limits comes near it.
+DEFAULT_CONNECTION_SHARE = 0.05
+
 
 class GatewayAddresses(NamedTuple):
     """Addresses that a gateway listens on.
@@ -125,6 +129,8 @@
         File descriptors that the process may use; None if the settings do not state it.
     placement
         How the replica for a request is chosen.
+    connection_share
+        Share of a processor that a connection may use without waiting for turns.
     """
 
     data_centre: str
@@ -145,6 +151,7 @@
     memory_bytes: int | None = None
     max_descriptors: int | None = None
     placement: Placement = Placement.LATENCY
+    connection_share: float = DEFAULT_CONNECTION_SHARE
 
     @property
     def name(self) -> str:
--- a/src/lovagetray/_process_settings.py
+++ b/src/lovagetray/_process_settings.py
@@ -7,6 +7,7 @@
 
 from expression import Error, Ok, Result
 
+from lovagetray._gateway_settings import DEFAULT_CONNECTION_SHARE
 from lovagetray._settings_errors import InvalidSettings, SettingProblem
 from lovagetray._types import Address
 
@@ -22,6 +23,8 @@
         Instances that vote when the system starts for the first time.
     operators
         SHA-256 digests of the operators' tokens in hexadecimal, by operator.
+    connection_share
+        Share of a processor that a connection may use without waiting for turns.
     """
 
     name: str
@@ -32,6 +35,7 @@
     peers: dict[str, Address]
     voters: tuple[str, ...]
     operators: dict[str, str]
+    connection_share: float = DEFAULT_CONNECTION_SHARE
 
 
 class ProcessKey(NamedTuple):
@@ -83,6 +87,13 @@
         False,
         "Where the durable state lives; left out on an instance without a disk.",
     ),
+    ProcessKey(
+        "instance",
+        "connection_share",
+        "a percentage from 1 to 100",
+        False,
+        "Part of a processor that a connection may use without waiting for turns; 5.",
+    ),
     ProcessKey(
         "peers",
         "<instance>",
@@ -172,6 +183,15 @@
             return []
         return list(self._parser[section])
 
+    def share(self, section: str, key: str, default: float) -> float:
+        value = self._parser.get(section, key, fallback="").strip()
+        if not value:
+            return default
+        if value.isdecimal() and 1 <= int(value) <= 100:
+            return int(value) / 100
+        self.add_problem(section, key, value, "a percentage from 1 to 100")
+        return default
+
     def _check_host(self, section: str, key: str, value: str) -> None:
         try:
             ip_address(value)
@@ -224,6 +244,9 @@
         peers=peers,
         voters=tuple(voters),
         operators={key: _read_digest(reader, key) for key in reader.keys("operators")},
+        connection_share=reader.share(
+            "instance", "connection_share", DEFAULT_CONNECTION_SHARE
+        ),
     )
 
 
--- a/src/lovagetray/_telemetry.py
+++ b/src/lovagetray/_telemetry.py
@@ -266,6 +266,10 @@
     "Connections closed and requests refused at a bound of memory or descriptors",
     ["action"],
 )
+PROCESSOR_TURNS = Counter(
+    "lovagetray_processor_turns_total",
+    "Turns in which input of connections beyond their processor time was read",
+)
 
 
 class LineStream(Protocol):
--- a/src/lovagetray/entry/_instance.py
+++ b/src/lovagetray/entry/_instance.py
@@ -57,7 +57,12 @@
     TargetDirectory,
 )
 from lovagetray.targets import HttpDialer, PoolDependencies, TargetAccess
-from lovagetray.wire import HttpServer, PeerTransport, encode_failure
+from lovagetray.wire import (
+    HttpServer,
+    PeerTransport,
+    ProcessorTurns,
+    encode_failure,
+)
 
 _log = get_logger()
 _FAILURE_TIMEOUT = timedelta(milliseconds=1500)
@@ -111,7 +116,12 @@
         )
         async with TaskGroup(wait=None) as group:
             self._targets = self._target_access(group)
-            server = HttpServer(self._router().handle, encode_failure, self._clock)
+            server = HttpServer(
+                self._router().handle,
+                encode_failure,
+                self._clock,
+                turns=ProcessorTurns(self._clock, self._settings.connection_share),
+            )
             events = Queue()
             for task, work in self._essential_tasks(server).items():
                 await group.spawn(run_essential, task, events, work)
--- a/src/lovagetray/platform/_settings.py
+++ b/src/lovagetray/platform/_settings.py
@@ -10,6 +10,7 @@
 from msgspec import Struct, ValidationError, convert, field
 
 from lovagetray._gateway_settings import (
+    DEFAULT_CONNECTION_SHARE,
     ColdLimits,
     GatewayAddresses,
     GatewaySettings,
@@ -23,6 +24,8 @@
 _PATH_VARIABLE = "LOVAGETRAY_SETTINGS"
 _DEFAULT_PATH = "/etc/lovagetray/settings.toml"
 _PLACEMENT_VARIABLE = "LOVAGETRAY_PLACEMENT"
+# In percent of a processor.
+_CONNECTION_SHARE_VARIABLE = "LOVAGETRAY_CONNECTION_SHARE"
 _MEGABYTE = 1024 * 1024
 
 
@@ -143,9 +146,27 @@
         memory_bytes=int(file.limits.memory_mb * _MEGABYTE) or None,
         max_descriptors=file.limits.max_descriptors or None,
         placement=Placement(environ.get(_PLACEMENT_VARIABLE, Placement.LATENCY.value)),
+        connection_share=_connection_share(environ.get(_CONNECTION_SHARE_VARIABLE)),
     )
 
 
+def _connection_share(percent: str | None) -> float:
+    """Return the share of a processor that a connection may use.
+
+    Raises
+    ------
+    ValueError
+        If the value is not a percentage from 1 to 100.
+    """
+    if percent is None:
+        return DEFAULT_CONNECTION_SHARE
+    if not (percent.isdecimal() and 1 <= int(percent) <= 100):
+        raise ValueError(
+            f"{_CONNECTION_SHARE_VARIABLE} is {percent!r}, expected 1 to 100 percent"
+        )
+    return int(percent) / 100
+
+
 def _revocation_limit(bounds: _Bounds) -> timedelta | None:
     if not bounds.strict_revocation:
         return None
--- a/src/lovagetray/platform/run.py
+++ b/src/lovagetray/platform/run.py
@@ -19,7 +19,7 @@
 from lovagetray.platform._replica_codec import decode_reply, replica_encoder
 from lovagetray.platform._routing_document import MAX_DOCUMENT_BYTES, decode_document
 from lovagetray.platform._settings import read_settings, settings_file
-from lovagetray.wire import CallerServer, HttpLimits, HttpServer
+from lovagetray.wire import CallerServer, HttpLimits, HttpServer, ProcessorTurns
 
 _EXIT_INVALID_SETTINGS = 3
 _CONTROL_LIMITS = HttpLimits(
@@ -61,6 +61,7 @@
 def _create_servers(gateway: Gateway) -> tuple[CallerFrontend, list[ControlServer]]:
     clock = SystemClock()
     addresses = gateway.settings.addresses
+    turns = ProcessorTurns(clock, gateway.settings.connection_share)
     caller_server = CallerServer(
         CallerHandler(gateway).handle,
         encode_caller_failure,
@@ -68,6 +69,7 @@
         lambda: gateway.caller_limits,
         gateway.bounds.held,
         gateway.bounds.caller_connections,
+        turns,
     )
     http_server = HttpServer(
         ControlHandler(gateway).handle,
@@ -75,6 +77,7 @@
         clock,
         _CONTROL_LIMITS._replace(connections=gateway.bounds.control_connections),
         held=gateway.bounds.held,
+        turns=turns,
     )
     frontend = CallerFrontend(
         lambda: caller_server.run(addresses.front),
--- a/src/lovagetray/state/__init__.py
+++ b/src/lovagetray/state/__init__.py
@@ -74,6 +74,7 @@
     Members,
 )
 from lovagetray.state._notice_content import is_repetition
+from lovagetray.state._processor_use import ProcessorUse
 from lovagetray.state._relays import Relays
 from lovagetray.state._replica_directory import (
     KnownReplica,
--- a/src/lovagetray/wire/__init__.py
+++ b/src/lovagetray/wire/__init__.py
@@ -59,6 +59,7 @@
     encode_outcome,
 )
 from lovagetray.wire._peers import PeerTransport
+from lovagetray.wire._processor_turns import ProcessorTurns
 from lovagetray.wire._settings_codec import (
     decode_settings_command,
     decode_settings_outcome,
--- a/src/lovagetray/wire/_caller_connection.py
+++ b/src/lovagetray/wire/_caller_connection.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Any
 
@@ -46,10 +47,13 @@
     states_length,
 )
 from lovagetray.wire._closing import abort, discard_input
+from lovagetray.wire._processor_turns import ProcessorTurns
 from lovagetray.wire._response_sender import ResponseSender
 
 _log = get_logger()
-_RECEIVE_BYTES = 65536
+# Parsed at once. In chunks of one byte this takes 2 to 4 ms, for which all other tasks
+# wait.
+_RECEIVE_BYTES = 2048
 # While a request runs, data is read only to detect the end of the connection; what a
 # caller has pipelined stays in the kernel's receive buffer.
 _PIPELINED_BYTES = 4096
@@ -62,6 +66,18 @@
 _MIN_WAIT = timedelta(milliseconds=100)
 
 
+@dataclass(slots=True)
+class _PartialRequest:
+    """A request that is being received."""
+
+    head: Request | None = None
+    body: bytearray = field(default_factory=bytearray)
+
+
+class _Incomplete:
+    """The outcome of parsing if more input is needed."""
+
+
 class CallerConnection:
     """A caller's connection and the task that reads it.
 
@@ -69,6 +85,8 @@
     ----------
     held
         Account of the bytes held for callers.
+    turns
+        Turns of connections that have used much processor time.
     """
 
     def __init__(
@@ -80,6 +98,7 @@
         limits: Callable[[], CallerLimits],
         draining: Callable[[], bool],
         held: HeldBytes,
+        turns: ProcessorTurns,
     ) -> None:
         self._client = client
         self._handler = handler
@@ -96,6 +115,8 @@
         # Whether the request was a HEAD request, whose response must have no body.
         self._bodiless = False
         self._account = held
+        self._turns = turns
+        self._use = turns.new_use()
         self._sender = ResponseSender(client, held, clock)
         # The complete request, until its task takes it.
         self._request: RawRequest | None = None
@@ -177,50 +198,57 @@
 
     async def _read_request(self) -> RawRequest | RequestFailure | None:
         """Return the next request, None at the end of the connection, or a failure."""
-        head: Request | None = None
-        body: list[bytes] = []
-        size = 0
+        partial = _PartialRequest()
         self._bodiless = False
         received, _ = self._h11.trailing_data
         self._receiving = bool(received)
         self._hold_input(len(received) - self._input_bytes)
         self._apply_head_limit()
+        while True:
+            outcome = await self._turns.run(self._use, lambda: self._parse(partial))
+            if not isinstance(outcome, _Incomplete):
+                return outcome
+            if self._h11.they_are_waiting_for_100_continue:
+                await self._client.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+            data = await self._client.recv(_RECEIVE_BYTES)
+            if not self._hold_input(len(data)):
+                return MemoryExhausted()
+            if not self._receiving:
+                self._receiving = True
+                self._waiting_since = self._clock.monotonic_time()
+                self._apply_head_limit()
+            self._h11.receive_data(data)
+
+    def _parse(
+        self, partial: _PartialRequest
+    ) -> RawRequest | RequestFailure | None | _Incomplete:
+        """Parse what was received; return the result of `_read_request` if known."""
         while True:
             try:
                 event = self._h11.next_event()
             except RemoteProtocolError as error:
                 return request_failure(error, self._limits)
-            if event is NEED_DATA:
-                if self._h11.they_are_waiting_for_100_continue:
-                    await self._client.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
-                data = await self._client.recv(_RECEIVE_BYTES)
-                if not self._hold_input(len(data)):
-                    return MemoryExhausted()
-                if not self._receiving:
-                    self._receiving = True
-                    self._waiting_since = self._clock.monotonic_time()
-                    self._apply_head_limit()
-                self._h11.receive_data(data)
-                continue
             match event:
                 case Request():
-                    head = event
-                    self._bodiless = head.method == b"HEAD"
+                    partial.head = event
+                    self._bodiless = event.method == b"HEAD"
                 case Data(data=data):
-                    size += len(data)
-                    if size > self._limits.body_bytes:
+                    partial.body += data
+                    if len(partial.body) > self._limits.body_bytes:
                         return RequestTooLarge(self._limits.body_bytes)
-                    body.append(bytes(data))
-                case EndOfMessage() if head is not None:
+                case EndOfMessage() if partial.head is not None:
                     self._receiving = False
+                    head = partial.head
                     return RawRequest(
                         head.method,
                         head.target,
                         tuple(head.headers.raw_items()),
-                        b"".join(body),
+                        bytes(partial.body),
                     )
                 case ConnectionClosed():
                     return None
+                case _ if event is NEED_DATA:
+                    return _Incomplete()
                 case _ if event is PAUSED:
                     return None
 
@@ -240,7 +268,7 @@
         try:
             request, self._request = self._request, None
             assert request is not None
-            response = await self._handler(request)
+            response = await self._turns.charge(self._use, self._handler(request))
             match response:
                 case NoResponse():
                     self.drop()
--- a/src/lovagetray/wire/_caller_server.py
+++ b/src/lovagetray/wire/_caller_server.py
@@ -18,6 +18,7 @@
 from lovagetray.wire._caller_door import CallerDoor
 from lovagetray.wire._caller_messages import FailureEncoder, Handler
 from lovagetray.wire._http import ACCEPT_RETRY_DELAY
+from lovagetray.wire._processor_turns import ProcessorTurns
 from lovagetray.wire._response_sender import RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES
 
 _BACKLOG = 1024
@@ -44,6 +45,9 @@
         Account of the bytes held for callers; by default one of a small machine.
     max_connections
         Maximum number of connections; idle ones are closed for further ones.
+    turns
+        Turns of connections that have used much processor time; by default those of
+        this server alone.
     """
 
     def __init__(
@@ -54,12 +58,14 @@
         limits: Callable[[], CallerLimits],
         held: HeldBytes | None = None,
         max_connections: int = _DEFAULT_CONNECTIONS,
+        turns: ProcessorTurns | None = None,
     ) -> None:
         self._handler = handler
         self._encode_failure = encode_failure
         self._clock = clock
         self._limits = limits
         self._held = held or HeldBytes()
+        self._turns = turns or ProcessorTurns(clock)
         self._door = CallerDoor(self._held, clock, max_connections)
         self._connections = self._door.connections
         self._draining = False
@@ -163,6 +169,7 @@
             self._limits,
             lambda: self._draining,
             self._held,
+            self._turns,
         )
         self._connections.add(connection)
         # A group keeps every task that ends in it unless the task is a daemon.
--- a/src/lovagetray/wire/_http_reader.py
+++ b/src/lovagetray/wire/_http_reader.py
@@ -23,10 +23,13 @@
     RequestTooLarge,
     RequestTooSlow,
 )
-from lovagetray.state import HeldBytes, HeldPart
+from lovagetray.state import HeldBytes, HeldPart, ProcessorUse
 from lovagetray.wire._http import HttpRequest, describe_violation
+from lovagetray.wire._processor_turns import ProcessorTurns
 
-_RECEIVE_BYTES = 65536
+# Parsed at once. In chunks of one byte this takes 2 to 4 ms, for which all other tasks
+# wait.
+RECEIVE_BYTES = 2048
 # Notices of replicas and address lookups are shorter; they are taken also when long
 # documents fill the memory for calls.
 UNCOUNTED_BYTES = 16 * 1024
@@ -66,6 +69,9 @@
         Returns whether bytes of a request can be held.
     held
         Account that the bytes of the request are held on until `release`.
+    turns, use
+        Turns of connections that have used much processor time, and the use of this
+        one.
     """
 
     def __init__(
@@ -75,12 +81,18 @@
         limits: HttpLimits,
         make_room: Callable[[int], bool],
         held: HeldBytes,
+        turns: ProcessorTurns,
+        use: ProcessorUse,
     ) -> None:
         self._client = client
         self._connection = connection
         self._limits = limits
         self._make_room = make_room
         self._held = held
+        self._turns = turns
+        self._use = use
+        self._head: Request | None = None
+        self._body = bytearray()
         self._counted = 0
 
     def release(self) -> None:
@@ -92,8 +104,18 @@
         self, peer: tuple[str, int]
     ) -> Result[HttpRequest | None, RequestFailure]:
         """Return the next request, None at the end of the connection, or a failure."""
-        head: Request | None = None
-        body = bytearray()
+        while True:
+            outcome = await self._turns.run(self._use, lambda: self._parse(peer))
+            if outcome is not None:
+                return outcome
+            if self._connection.they_are_waiting_for_100_continue:
+                await self._client.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._connection.receive_data(await self._client.recv(RECEIVE_BYTES))
+
+    def _parse(
+        self, peer: tuple[str, int]
+    ) -> Result[HttpRequest | None, RequestFailure] | None:
+        """Parse what was received; return what `read` does, or None to read more."""
         while True:
             try:
                 event = self._connection.next_event()
@@ -101,27 +123,24 @@
                 if error.error_status_hint == 431:
                     return Error(RequestTooLarge(self._limits.head_bytes))
                 return Error(MalformedRequest(describe_violation(error)))
-            if event is NEED_DATA:
-                if self._connection.they_are_waiting_for_100_continue:
-                    await self._client.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
-                self._connection.receive_data(await self._client.recv(_RECEIVE_BYTES))
-                continue
             match event:
                 case Request():
-                    head = event
+                    self._head = event
                 case Data(data=data):
-                    body += data
-                    if len(body) > self._limits.body_bytes:
+                    self._body += data
+                    if len(self._body) > self._limits.body_bytes:
                         return Error(RequestTooLarge(self._limits.body_bytes))
-                    if len(body) > UNCOUNTED_BYTES:
+                    if len(self._body) > UNCOUNTED_BYTES:
                         if not self._make_room(len(data)):
                             return Error(MemoryExhausted())
                         self._held.hold(HeldPart.CONTROL, len(data))
                         self._counted += len(data)
-                case EndOfMessage() if head is not None:
-                    return _decode_request(head, bytes(body), peer)
+                case EndOfMessage() if self._head is not None:
+                    return _decode_request(self._head, bytes(self._body), peer)
                 case ConnectionClosed():
                     return Ok(None)
+                case _ if event is NEED_DATA:
+                    return None
                 case _ if event is PAUSED:
                     return Error(
                         MalformedRequest("data follows a request for a protocol switch")
--- a/src/lovagetray/wire/_http_server.py
+++ b/src/lovagetray/wire/_http_server.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 server, based on h11, with one task for each connection."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from curio import CancelledError, Task, TaskGroup, current_task, tcp_server_socket
@@ -24,20 +24,21 @@
 from lovagetray._task_failures import report_task_failure
 from lovagetray._telemetry import BOUND_ACTIONS, DOOR_CONNECTIONS
 from lovagetray._types import Address
-from lovagetray.state import HeldBytes, HeldPart
+from lovagetray.state import HeldBytes, HeldPart, ProcessorUse
 from lovagetray.wire._http import ACCEPT_RETRY_DELAY, HttpRequest, HttpResponse
 from lovagetray.wire._http_reader import (
+    RECEIVE_BYTES,
     UNCOUNTED_BYTES,
     HttpLimits,
     HttpRequestReader,
     RequestFailure,
 )
+from lovagetray.wire._processor_turns import ProcessorTurns
 
 _log = get_logger()
-_RECEIVE_BYTES = 65536
 _BACKLOG = 512
 
-Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+Handler = Callable[[HttpRequest], Coroutine[Any, Any, HttpResponse]]
 FailureEncoder = Callable[[RequestFailure], HttpResponse]
 
 
@@ -55,6 +56,9 @@
         costs two tasks for each request.
     held
         Account of the bytes held for calls; by default one of a small machine.
+    turns
+        Turns of connections that have used much processor time; by default those of
+        this server alone.
     """
 
     def __init__(
@@ -65,8 +69,10 @@
         limits: HttpLimits = HttpLimits(),
         cancel_on_close: bool = False,
         held: HeldBytes | None = None,
+        turns: ProcessorTurns | None = None,
     ) -> None:
         self._held = held or HeldBytes()
+        self._turns = turns or ProcessorTurns(clock)
         self._log = RateLimitedLog(clock)
         self._handler = handler
         self._encode_failure = encode_failure
@@ -145,9 +151,10 @@
         connection = Connection(
             SERVER, max_incomplete_event_size=self._limits.head_bytes
         )
+        use = self._turns.new_use()
         try:
             async with client:
-                while await self._serve_request(task, client, connection, peer):
+                while await self._serve_request(task, client, connection, peer, use):
                     connection.start_next_cycle()
         except (OSError, CancelledError):
             pass
@@ -159,14 +166,20 @@
             DOOR_CONNECTIONS.labels("control").set(len(self._connection_tasks))
 
     async def _serve_request(
-        self, task: Task, client: Any, connection: Connection, peer: tuple[str, int]
+        self,
+        task: Task,
+        client: Any,
+        connection: Connection,
+        peer: tuple[str, int],
+        use: ProcessorUse,
     ) -> bool:
         """Serve one request; return whether the connection is reusable."""
         if not connection.trailing_data[0]:
             if not await self._wait_for_data(task, client, connection):
                 return False
         received = await self._clock.with_timeout(
-            self._limits.request_time, self._read_request(client, connection, peer)
+            self._limits.request_time,
+            self._read_request(client, connection, peer, use),
         )
         match received:
             case Result(tag="ok", ok=Result(tag="ok", ok=None)):
@@ -176,7 +189,9 @@
                 if bodiless:
                     # The same response as to GET, without its body.
                     request = request._replace(method="GET")
-                handler_response = await self._handle(client, connection, request)
+                handler_response = await self._turns.charge(
+                    use, self._handle(client, connection, request)
+                )
                 if handler_response is None:
                     return False
                 response = handler_response
@@ -220,7 +235,7 @@
             return False
         self._idle_tasks[task] = None
         received = await self._clock.with_timeout(
-            self._limits.idle_time, client.recv(_RECEIVE_BYTES)
+            self._limits.idle_time, client.recv(RECEIVE_BYTES)
         )
         self._idle_tasks.pop(task, None)
         match received:
@@ -231,11 +246,21 @@
                 return False
 
     async def _read_request(
-        self, client: Any, connection: Connection, peer: tuple[str, int]
+        self,
+        client: Any,
+        connection: Connection,
+        peer: tuple[str, int],
+        use: ProcessorUse,
     ) -> Result[HttpRequest | None, RequestFailure]:
         """Read a request, counting its bytes as held meanwhile."""
         reader = HttpRequestReader(
-            client, connection, self._limits, self._make_room, self._held
+            client,
+            connection,
+            self._limits,
+            self._make_room,
+            self._held,
+            self._turns,
+            use,
         )
         try:
             return await reader.read(peer)
@@ -294,7 +319,7 @@
 
 
 async def _receive_until_closed(client: Any, connection: Connection) -> None:
-    while data := await client.recv(_RECEIVE_BYTES):
+    while data := await client.recv(RECEIVE_BYTES):
         connection.receive_data(data)
 
 
