Bound what the kernel keeps of input that is not read

What callers saw: 640 callers that pipelined requests and did not read took 215 MB at a MemoryMb of 100, 137 MB of it in the kernel. At the 1,950 connections of a machine of 200 MB that is more than its memory.

Cause: what a caller sends while its request runs stays in the receive buffer of its socket, up to 128 KB, also while the connection waits to be accepted; and a response that finds no room leaves up to 128 KB in that of its replica's connection. Neither was part of any bound.

Mend: the receive buffers of callers take 16 KB and those of replicas 64 KB. Requests have a mean of 300 bytes on all deployments; a body of 262,144 bytes is read as it comes.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -18,6 +18,15 @@
       | without their length        | 900   | 1        |
       | in chunks                   | 300   | 1        |
 
+  Scenario: A crowd pipelines requests that the process does not read
+    Guards against input that the kernel keeps for each connection beside the memory of
+    the process.
+    Given a gateway with 100 MB whose replicas answer with 900,000 bytes, with their length
+    When a crowd of 640 slow readers comes at once for 4000 responses each
+    And it stays for 10 s
+    Then the process lives within 100 MB with its sockets and 1500 descriptors
+    And an ordinary request is answered afterwards
+
   Scenario: A crowd of slow readers gets long responses after short ones
     Guards against memory that is reserved by the size of earlier responses alone.
     Given a gateway with 150 MB whose replicas answer with 900,000 bytes, with their length
--- a/src/lovagetray/wire/_connect.py
+++ b/src/lovagetray/wire/_connect.py
@@ -10,7 +10,7 @@
 # Without a fixed size the kernel lets the buffer of each connection grow to some
 # megabytes when responses arrive faster than they are read, outside the resident memory
 # of the process and within that of the machine.
-_RECEIVE_BUFFER_BYTES = 65_536
+_RECEIVE_BUFFER_BYTES = 32_768
 
 
 class TcpSocket(Socket):  # type: ignore[misc]
--- a/src/lovagetray/wire/_response_sender.py
+++ b/src/lovagetray/wire/_response_sender.py
@@ -17,7 +17,9 @@
 # its own records. Without it the buffer grows to 4 MB, outside the resident memory of
 # the process and within that of the machine.
 SEND_BUFFER_BYTES = 131_072
-RECEIVE_BUFFER_BYTES = 65536
+# What callers send while their request runs stays in this buffer, also on connections
+# that wait to be accepted. The kernel takes twice the value.
+RECEIVE_BUFFER_BYTES = 8_192
 _KERNEL_BYTES = 2 * SEND_BUFFER_BYTES
 _MIN_SECONDS = 0.1
 _QUEUE_SIZE_BYTES = 4
