Fix the buffers of connections at the control, listing and entry ports

What callers saw: 150 callers that read a configuration of 800,000 bytes slowly at the leader took 527 MB at a MemoryMb of 150, 482 MB of it in the kernel; metrics read slowly took 176 MB. The process would have ended, and with it the service to ordinary callers.

Cause: the account counts a response at these ports until the kernel has taken it, and the kernel lets the send buffer of each connection grow to 4 MB.

Mend: the buffers of these connections have a fixed size, as those of callers have: 32 KB to send and 64 KB to receive.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -75,6 +75,8 @@
 
     Examples:
       | port    | count | path              |
+      | control | 3     | /-/config/get     |
+      | control | 200   | /metrics          |
       | listing | 2000  | /-/resolve        |
 
   Scenario Outline: A crowd comes to an entry instance
--- a/src/lovagetray/wire/_http_server.py
+++ b/src/lovagetray/wire/_http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server, based on h11, with one task for each connection."""
 
 from collections.abc import Callable, Coroutine
+from socket import SO_RCVBUF, SO_SNDBUF, SOL_SOCKET
 from typing import Any
 
 from curio import CancelledError, Task, TaskGroup, current_task, tcp_server_socket
@@ -37,6 +38,10 @@
 
 _log = get_logger()
 _BACKLOG = 512
+# Without a fixed size the kernel lets the buffers of each connection grow to some
+# megabytes, outside the resident memory of the process. It takes twice the values.
+_SEND_BUFFER_BYTES = 16_384
+_RECEIVE_BUFFER_BYTES = 32_768
 
 Handler = Callable[[HttpRequest], Coroutine[Any, Any, HttpResponse]]
 FailureEncoder = Callable[[RequestFailure], HttpResponse]
@@ -92,9 +97,13 @@
 
     def listen(self, address: Address) -> Any:
         """Return a listening socket bound to `address`."""
-        return tcp_server_socket(
+        listener = tcp_server_socket(
             address.host, address.port, backlog=_BACKLOG, reuse_address=True
         )
+        # Accepted connections inherit the sizes of their buffers.
+        listener.setsockopt(SOL_SOCKET, SO_SNDBUF, _SEND_BUFFER_BYTES)
+        listener.setsockopt(SOL_SOCKET, SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+        return listener
 
     async def run(self, listener: Any) -> None:
         """Accept connections until cancelled."""
