Test crowds that come on new connections at once

Each connection may use 5 ms of processor time before it waits for turns, so that callers who connect again and again could keep that allowance. 300 callers of the metrics, or of a path without a route, that return at once on new connections leave an ordinary caller an answer on the code as it stands (63 and 56 MB).

--- a/features/fakes/crowd.py
+++ b/features/fakes/crowd.py
@@ -44,7 +44,14 @@
     pieces_per_packet: int
 
 
-Behaviour = ReadsSlowly | SendsSteadily
+@dataclass(frozen=True)
+class ReturnsAtOnce:
+    """Sends a request that ends its connection, reads the response and comes again."""
+
+    request: bytes
+
+
+Behaviour = ReadsSlowly | SendsSteadily | ReturnsAtOnce
 
 
 class Member:
@@ -72,6 +79,8 @@
                     return self._read_slowly(self._socket, now)
                 case SendsSteadily() as behaviour:
                     return self._send_steadily(self._socket, behaviour, now)
+                case ReturnsAtOnce():
+                    return self._read_and_return(self._socket)
         except BlockingIOError:
             return ""
         except OSError:
@@ -93,7 +102,11 @@
         self._socket.connect_ex(self._address)
         self._paced_at, self._due = now, 0.0
         match self._behaviour:
-            case ReadsSlowly(requests=payload) | SendsSteadily(beginning=payload):
+            case (
+                ReadsSlowly(requests=payload)
+                | SendsSteadily(beginning=payload)
+                | ReturnsAtOnce(request=payload)
+            ):
                 self._rest = payload
 
     def _send_rest(self, connection: socket) -> None:
@@ -123,6 +136,14 @@
         self._due = min(self._due, behaviour.pieces_per_second)
         return _status(connection.recv(_DISCARDED_BYTES))
 
+    def _read_and_return(self, connection: socket) -> str:
+        self._send_rest(connection)
+        data = connection.recv(_DISCARDED_BYTES)
+        if not data:
+            self.close()
+            return ""
+        return _status(data)
+
 
 def _status(data: bytes) -> str:
     """Return the status in received bytes, if they begin a response.
--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -63,6 +63,8 @@
       | 300   | pipelined requests            | front   |
       | 300   | pipelined metrics             | control |
       | 300   | pipelined address lookups     | listing |
+      | 300   | metrics on new connections    | control |
+      | 300   | requests on new connections   | front   |
 
   Scenario Outline: A crowd of slow readers asks at the <port> port
     Guards against responses that the kernel holds beside the memory of the process.
--- a/features/steps/misbehaving_client_steps.py
+++ b/features/steps/misbehaving_client_steps.py
@@ -7,7 +7,13 @@
 
 from behave import given, then, when
 from behave.runner import Context
-from fakes.crowd import Behaviour, Crowd, ReadsSlowly, SendsSteadily
+from fakes.crowd import (
+    Behaviour,
+    Crowd,
+    ReadsSlowly,
+    ReturnsAtOnce,
+    SendsSteadily,
+)
 from fleet import Fleet
 from platform_stand_in.fleet import HOST, PlatformFleet
 from platform_stand_in.replicas import RECORD_BYTES
@@ -56,7 +62,7 @@
     return head.encode()
 
 
-def _costly_input(name: str, port: str) -> SendsSteadily:
+def _costly_input(name: str, port: str) -> SendsSteadily | ReturnsAtOnce:
     """Return what each sender of a crowd sends, and how often."""
     match name:
         case "bodies in chunks of one byte":
@@ -65,6 +71,10 @@
             return SendsSteadily(_get("/")[:-2] + b"X: ", b"x", 200, 1)
         case "pipelined requests":
             return SendsSteadily(b"", _get("/nowhere"), 500, 10)
+        case "metrics on new connections":
+            return ReturnsAtOnce(_get("/metrics")[:-2] + b"Connection: close\r\n\r\n")
+        case "requests on new connections":
+            return ReturnsAtOnce(_get("/nowhere")[:-2] + b"Connection: close\r\n\r\n")
         case "pipelined metrics":
             return SendsSteadily(b"", _get("/metrics"), 100, 10)
         case "pipelined address lookups":
