Close slow calls for new ones when all connections are taken

What callers saw: nothing at first. Connections that sent a request without end, or did not read a response, held all connections of the control port for 5 s each. Notices of replicas, calls of operators and readiness checks were closed unread meanwhile.

Cause: only connections without a request were closed for new ones.

Mend: without an idle connection, the one that has been sending or reading for longest, and for more than 100 ms, is closed. A request that is being handled is left alone.

The failing line of the commit before, for half of a head, half of a body and a response that is not read: ConnectionResetError: [Errno 104] Connection reset by peer.

--- a/features/held_bytes.feature
+++ b/features/held_bytes.feature
@@ -30,13 +30,20 @@
     And it gets a request
     Then the request is not refused for memory
 
-  Scenario: Idle connections take all connections of the control port
-    Guards against notices of replicas that are not heard because idle connections are
-    kept.
+  Scenario Outline: Others take all connections of the control port
+    Guards against notices of replicas that are not heard because the connections of
+    others are kept.
     Given a server for calls with 8 connections
-    When 30 callers connect to it and send nothing
+    When 30 callers connect to it and <behaviour>
     Then the next call is answered
 
+    Examples:
+      | behaviour                           |
+      | send nothing                        |
+      | send half of a head                 |
+      | send half of a body                 |
+      | do not read a response of 1 MB      |
+
   Scenario: Connections to the peer port never say anything
     Guards against descriptors that others than instances hold for 30 s each.
     Given a peer transport
--- a/features/steps/held_bytes_steps.py
+++ b/features/steps/held_bytes_steps.py
@@ -36,6 +36,12 @@
 _MEGABYTE = 1024 * 1024
 _GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 _POST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n"
+_UNFINISHED_CALLS = {
+    "send nothing": b"",
+    "send half of a head": _GET[:10],
+    "send half of a body": _POST + b"x" * 100,
+    "do not read a response of 1 MB": _GET.replace(b"/", b"/long", 1),
+}
 _INPUTS = {
     "read one byte of the response": _GET,
     "send one byte of a request": b"G",
@@ -218,12 +224,20 @@
     context.limits = HttpLimits()
 
 
-@when("30 callers connect to it and send nothing")
-def connect_idle(context: Context) -> None:
+@when("30 callers connect to it and {behaviour}")
+def connect_others(context: Context, behaviour: str) -> None:
     def work(address: tuple[str, int]) -> list[bytes]:
-        idle = [create_connection(address) for _ in range(30)]
+        others = []
+        for _ in range(30):
+            others.append(create_connection(address))
+            with suppress(OSError):
+                # Those whose connection was closed for another one cannot send.
+                others[-1].sendall(_UNFINISHED_CALLS[behaviour])
+        # By then the others have been sending or reading for longer than a caller of
+        # usual speed.
+        sleep(0.3)
         answers = _call(address, 1)
-        for caller in idle:
+        for caller in others:
             caller.close()
         return [answers]
 
@@ -361,7 +375,7 @@
 
 def _serve_calls(context: Context, work: Any) -> None:
     async def handle(request: HttpRequest) -> HttpResponse:
-        return HttpResponse(200, {}, b"ok")
+        return HttpResponse(200, {}, b"ok" if request.path == "/" else b"x" * _MEGABYTE)
 
     async def main() -> None:
         server = HttpServer(
--- a/src/lovagetray/wire/_http_server.py
+++ b/src/lovagetray/wire/_http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server, based on h11, with one task for each connection."""
 
 from collections.abc import Callable, Coroutine
+from datetime import timedelta
 from socket import SO_RCVBUF, SO_SNDBUF, SOL_SOCKET
 from typing import Any
 
@@ -43,6 +44,9 @@
 _SEND_BUFFER_BYTES = 16_384
 _RECEIVE_BUFFER_BYTES = 32_768
 
+# A caller who has been sending or reading for longer may be closed for a new one.
+_MIN_BUSY_TIME = timedelta(milliseconds=100)
+
 Handler = Callable[[HttpRequest], Coroutine[Any, Any, HttpResponse]]
 FailureEncoder = Callable[[RequestFailure], HttpResponse]
 
@@ -86,6 +90,9 @@
         self._cancel_on_close = cancel_on_close
         # The keys are in the order in which the connections became idle.
         self._idle_tasks: dict[Task, None] = {}
+        # Since when connections have been reading a request or sending a response, in
+        # this order.
+        self._busy_since: dict[Task, timedelta] = {}
         self._connection_tasks: set[Task] = set()
         self._draining = False
         self._closing = False
@@ -126,26 +133,40 @@
                     await group.spawn(self._serve, client, peer[:2], daemon=True)
 
     async def _admits_connection(self) -> bool:
-        """Return whether a new connection may stay, if need be in place of an idle one.
+        """Return whether a new connection may stay, if need be in place of another one.
 
-        The oldest idle connection is closed, so that replicas and operators are heard
-        while others only hold connections open.
+        The oldest idle connection is closed, or else the one that has been sending or
+        reading for longest, so that replicas and operators are heard while others only
+        hold connections open.
         """
         if len(self._connection_tasks) < self._limits.connections:
             return True
-        action = "idle_call_connection" if self._idle_tasks else "refused_call"
+        if self._idle_tasks:
+            action, replaced = "idle_call_connection", next(iter(self._idle_tasks))
+        else:
+            action, replaced = "slow_call_connection", self._slowest()
+        if replaced is None:
+            action = "refused_call"
         BOUND_ACTIONS.labels(action).inc()
         self._log.warn(
             "call_connections_exhausted", action=action, limit=self._limits.connections
         )
-        if not self._idle_tasks:
+        if replaced is None:
             return False
-        oldest = next(iter(self._idle_tasks))
-        del self._idle_tasks[oldest]
-        self._connection_tasks.discard(oldest)
-        await oldest.cancel(blocking=False)
+        self._idle_tasks.pop(replaced, None)
+        self._busy_since.pop(replaced, None)
+        self._connection_tasks.discard(replaced)
+        await replaced.cancel(blocking=False)
         return True
 
+    def _slowest(self) -> Task | None:
+        """Return the connection that sends or reads for longest, if one is slow."""
+        if not self._busy_since:
+            return None
+        task, since = next(iter(self._busy_since.items()))
+        is_slow = self._clock.monotonic_time() - since > _MIN_BUSY_TIME
+        return task if is_slow else None
+
     async def close_idle(self) -> None:
         """Close idle connections now and the others after their next response."""
         self._draining = True
@@ -271,9 +292,12 @@
             self._turns,
             use,
         )
+        task = await current_task()
+        self._busy_since[task] = self._clock.monotonic_time()
         try:
             return await reader.read(peer)
         finally:
+            self._busy_since.pop(task, None)
             reader.release()
 
     async def _send_response(
@@ -311,11 +335,14 @@
         # Only the payload is kept while the caller reads it.
         del response
         self._held.hold(HeldPart.CONTROL, size)
+        task = await current_task()
+        self._busy_since[task] = self._clock.monotonic_time()
         try:
             sent = await self._clock.with_timeout(
                 self._limits.request_time, client.sendall(payload)
             )
         finally:
+            self._busy_since.pop(task, None)
             self._held.release(HeldPart.CONTROL, size)
         return sent.is_ok() and not close and _is_reusable(connection)
 
