Count a fixed time for the work on a caller's request

Callers' requests count with 500 microseconds instead; what is read for them is still measured, as are calls at the control port, whose cost differs by more.

--- a/src/lovagetray/wire/_caller_connection.py
+++ b/src/lovagetray/wire/_caller_connection.py
@@ -57,6 +57,9 @@
 # While a request runs, data is read only to detect the end of the connection; what a
 # caller has pipelined stays in the kernel's receive buffer.
 _PIPELINED_BYTES = 4096
+# Counted for each request beside the time for reading it; measuring it would cost as
+# much as reading a request does.
+_REQUEST_TIME = timedelta(microseconds=500)
 _CLOSE_TIMEOUT = timedelta(seconds=1)
 # The first request on a new connection is expected within this time; a server that
 # closes does not wait longer for it.
@@ -194,6 +197,7 @@
             return False
         self._h11.start_next_cycle()
         self._waiting_since = self._clock.monotonic_time()
+        self._use.record(_REQUEST_TIME, self._waiting_since)
         return True
 
     async def _read_request(self) -> RawRequest | RequestFailure | None:
@@ -268,7 +272,7 @@
         try:
             request, self._request = self._request, None
             assert request is not None
-            response = await self._turns.charge(self._use, self._handler(request))
+            response = await self._handler(request)
             match response:
                 case NoResponse():
                     self.drop()
--- a/src/lovagetray/wire/_caller_messages.py
+++ b/src/lovagetray/wire/_caller_messages.py
@@ -1,8 +1,8 @@
 """Requests and responses of callers as they are on the wire."""
 
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from h11 import RemoteProtocolError
 
@@ -48,7 +48,7 @@
     """The end of the connection in place of a response to a request that has run."""
 
 
-Handler = Callable[[RawRequest], Coroutine[Any, Any, RawResponse | NoResponse]]
+Handler = Callable[[RawRequest], Awaitable[RawResponse | NoResponse]]
 FailureEncoder = Callable[[RequestFailure], RawResponse]
 
 
