--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -81,6 +81,15 @@
       | control | 200   | /metrics          |
       | listing | 2000  | /-/resolve        |
 
+  @known_red
+  Scenario: Strangers begin long messages at the port for peers
+    Guards against partial messages of strangers that take the memory of the process.
+    Given a gateway with 150 MB whose replicas answer with 400 bytes, with their length
+    When a crowd of 50 strangers begins messages of 8,000,000 bytes at the peer port
+    And it stays for 10 s
+    Then the process lives within 150 MB with its sockets and 1500 descriptors
+    And an ordinary request is answered afterwards
+
   Scenario Outline: A crowd comes to an entry instance
     Guards against an entry instance that does nothing but parse, or that keeps what
     callers do not read.
