Don't count a reply that comes after its request has ended

What callers saw: after a crowd of gathered answers with a slow shard, all requests were refused for memory, until a restart.

A reply that an abandoned exchange delivers after the end of its request was kept on the account, and nothing gave it back.

Mend: nothing is kept after the end. The test of the account plays it; its failing line before: "And nothing is held after all have ended ... failed", and of the crowd: FleetTimeout after 30 s of requests refused because "its response could not be held beside those of other callers".

--- a/features/steps/held_bytes_steps.py
+++ b/features/steps/held_bytes_steps.py
@@ -310,6 +310,8 @@
             memory, taken = running.pop(random.randrange(len(running)))
             memory.end(random.choice((None, 100, limit)))
             for size in taken:
+                # A response of an exchange that was abandoned.
+                memory.keep(size)
                 memory.give_back(size)
     for memory, taken in running:
         memory.end(None)
--- a/src/lovagetray/state/_held_bytes.py
+++ b/src/lovagetray/state/_held_bytes.py
@@ -170,6 +170,7 @@
         self._receiving = 0
         self._kept = 0
         self._counted = 0
+        self._ended = False
         self._count()
 
     def take(self, size: int) -> bool:
@@ -194,10 +195,12 @@
     def keep(self, size: int) -> None:
         """Count bytes of a complete response that is needed until `end`.
 
-        The bytes that were taken for it are given back as well.
+        The bytes that were taken for it are given back as well. A response that comes
+        after `end` is not needed.
         """
-        self._kept += size
-        self._count()
+        if not self._ended:
+            self._kept += size
+            self._count()
 
     def end(self, size: int | None) -> None:
         """End the reservation and learn from the size of the response.
@@ -209,6 +212,7 @@
         size
             Bytes received for the response; None if there is no response.
         """
+        self._ended = True
         self._reserved = self._kept = 0
         self._count()
         if size is not None:
