Drop the replies of a request when it ends

Cause: an exchange in flight refers to its dispatch, and so to the replies of all shards, until its connection has ended some 300 ms later. The replies no longer counted by then.

Mend: the answer is made before the dispatch is abandoned, and abandoning drops the replies. The log line of a forwarded request is a function of its own.

--- a/src/lovagetray/commands/forwarding/_forward.py
+++ b/src/lovagetray/commands/forwarding/_forward.py
@@ -66,13 +66,25 @@
         await _wait_until_settled(
             dispatch, dependencies, started_at + response_cutoff(timeout)
         )
+        call = dispatch.calls[0]
+        took = clock.monotonic_time() - started_at
+        refused_for = dependencies.balancer.refused_for((service,), 1)
+        stopped = dependencies.answer_limit.has_passed(clock.monotonic_time())
+        result = _result_of(call, dispatch, timeout, refused_for, stopped)
+        _log_end(dispatch, request, route, result, took)
+        return result
     finally:
         await dispatch.abandon()
+
+
+def _log_end(
+    dispatch: Dispatch,
+    request: CallerRequest,
+    route: Route,
+    result: Result[ReplicaReply, ForwardFailure],
+    took: timedelta,
+) -> None:
     call = dispatch.calls[0]
-    took = clock.monotonic_time() - started_at
-    refused_for = dependencies.balancer.refused_for((service,), 1)
-    stopped = dependencies.answer_limit.has_passed(clock.monotonic_time())
-    result = _result_of(call, dispatch, timeout, refused_for, stopped)
     _log.info(
         "request_ended",
         request_id=request.request_id,
@@ -85,7 +97,6 @@
         took_ms=round(took.total_seconds() * 1000, 1),
         **dispatch.expected_milliseconds,
     )
-    return result
 
 
 def _outcome_text(result: Result[ReplicaReply, ForwardFailure]) -> str:
--- a/src/lovagetray/queries/dispatch/_dispatch.py
+++ b/src/lovagetray/queries/dispatch/_dispatch.py
@@ -276,7 +276,14 @@
                 self.hedges += 1
 
     async def abandon(self) -> None:
-        """Abandon all exchanges in flight; unsent ones are never sent."""
+        """Abandon all exchanges in flight, and drop the replies.
+
+        Unsent exchanges are never sent. Those in flight refer to this object until they
+        end, which must not keep replies that are no longer counted.
+        """
+        self._abandoned = True
+        for call in self.calls:
+            call.reply = call.failure_reply = None
         self._dependencies.answer_limit.discard(self)
         await self._dependencies.connection_pool.abandon(self._call_of)
         now = self._dependencies.clock.monotonic_time()
@@ -339,7 +346,7 @@
                 await self._record_failure(call)
 
     async def _process_reply(self, call: ServiceCall, reply: ReplicaReply) -> None:
-        if call.settled:
+        if call.settled or self._abandoned:
             return
         if reply.succeeded:
             call.may_have_run = True
@@ -405,15 +412,16 @@
         ):
             return False
         now = self._dependencies.clock.monotonic_time()
-        payload = self._dependencies.encoder.encode_for_replica(
+        head, body = self._dependencies.encoder.encode_for_replica(
             self._shared_part, notice.replica, self._deadline - now
         )
         exchange = Exchange(
             notice,
             self._request.request_id,
-            payload,
+            head,
             self,
             self._deadline,
+            body,
             at_most_once=self._route.retry_safety is RetrySafety.AT_MOST_ONCE,
             bodiless=self._request.method == b"HEAD",
             memory=self._memory,
--- a/src/lovagetray/queries/gathering/_gather.py
+++ b/src/lovagetray/queries/gathering/_gather.py
@@ -97,11 +97,11 @@
     try:
         await dispatch.start()
         await _collect(dispatch, dependencies, destination, policy)
+        took = clock.monotonic_time() - started_at
+        _log_end(dispatch, request, route, spent, took)
+        return _answer(dispatch, dependencies, destination, timeout, took)
     finally:
         await dispatch.abandon()
-    took = clock.monotonic_time() - started_at
-    _log_end(dispatch, request, route, spent, took)
-    return _answer(dispatch, dependencies, destination, timeout, took)
 
 
 async def _collect(
