Keep the body of a request once for all replicas that get it

What callers saw: 60 callers with bodies of 262,144 bytes for 12 slow shards took 345 MB at a MemoryMb of 150.

Cause: head and body were joined for each replica, so that each shard, retry and hedge had a copy of the body, of which only one was counted. The kernel kept up to 4 MB more for each connection to a replica that reads slowly.

Mend: an exchange has a head of its own and a body that all share, sent in one call.

--- a/features/fakes/replica_script.py
+++ b/features/fakes/replica_script.py
@@ -63,7 +63,7 @@
 
     async def start(self, exchange: Exchange) -> bool:
         exchange.sent_at = SystemClock().monotonic_time()
-        self.payloads.append(exchange.payload)
+        self.payloads.append(exchange.head + exchange.body)
         await spawn(self._run, exchange, daemon=True)
         return True
 
@@ -149,7 +149,10 @@
     connection_pool = ScriptedConnectionPool()
     encoder = RequestEncoder(
         lambda request: (request.target, request.body),
-        lambda common, replica, time_left: common[0] + b" " + replica.encode(),
+        lambda common, replica, time_left: (
+            common[0] + b" " + replica.encode(),
+            common[1],
+        ),
     )
 
     async def report_leaving(notice: ReplicaNotice) -> None:
--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -39,12 +39,20 @@
   Scenario: A crowd asks for answers gathered from long parts while one shard is slow
     Guards against parts of gathered answers that are kept uncounted until the last one
     has come.
-    Given a gateway with 150 MB and 6 shards with parts of 320,000 bytes, one of them slow
+    Given a gateway with 150 MB and 6 shards with parts of 320,000 bytes, 1 of them slow
     When a crowd of 150 callers comes at once for answers from all shards
     And it stays for 10 s
     Then the process lives within 150 MB with its sockets and 1500 descriptors
     And an answer from all shards is given once none of them is slow
 
+  Scenario: A crowd sends long bodies to all shards
+    Guards against a body that is kept once for each replica that it is sent to.
+    Given a gateway with 150 MB and 12 shards with parts of 160 bytes, all of them slow
+    When a crowd of 60 callers comes at once with bodies of 262,144 bytes for all shards
+    And it stays for 10 s
+    Then the process lives within 150 MB with its sockets and 1500 descriptors
+    And an answer from all shards is given once none of them is slow
+
   Scenario Outline: A crowd sends what is costly to parse
     Guards against an instance that does nothing but parse, so that ordinary callers
     wait until the crowd has left, and longer.
--- a/features/steps/misbehaving_client_steps.py
+++ b/features/steps/misbehaving_client_steps.py
@@ -19,7 +19,6 @@
 from platform_stand_in.replicas import RECORD_BYTES
 
 _SERVICE = "long"
-_SHARDS = ("s0", "s1", "s2", "s3", "s4", "s5")
 _SLOW_SHARD_MS = 1_500
 _MEGABYTE = 1024 * 1024
 # The crowd stays until an ordinary request was answered, at most for this time.
@@ -91,12 +90,16 @@
 
 
 @given(
-    "a gateway with {memory:d} MB and 6 shards with parts of {size} bytes, one of them "
-    "slow"
+    "a gateway with {memory:d} MB and {shards:d} shards with parts of {size} bytes, "
+    "{slow} of them slow"
 )
-def start_shards(context: Context, memory: int, size: str) -> None:
-    _start(context, memory, _SHARDS, int(size.replace(",", "")))
-    names = [f"{_SHARDS[0]}-{number}" for number in range(3)]
+def start_shards(
+    context: Context, memory: int, shards: int, size: str, slow: str
+) -> None:
+    services = tuple(f"s{number}" for number in range(shards))
+    _start(context, memory, services, int(size.replace(",", "")))
+    slow_services = services if slow == "all" else services[: int(slow)]
+    names = [f"{service}-{number}" for service in slow_services for number in range(3)]
     context.fleet.send_command(names=names, work_ms=_SLOW_SHARD_MS)
 
 
@@ -191,6 +194,16 @@
     _send_crowd(context, count, ReadsSlowly(_get("/all/1")))
 
 
+@when(
+    "a crowd of {count:d} callers comes at once with bodies of {size} bytes for all "
+    "shards"
+)
+def send_bodies(context: Context, count: int, size: str) -> None:
+    length = int(size.replace(",", ""))
+    head = f"POST /all/1 HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: {length}\r\n\r\n"
+    _send_crowd(context, count, ReadsSlowly(head.encode() + b"x" * length))
+
+
 @when(
     "a crowd of {count:d} slow readers comes at once to the {port} port for "
     "{requests:d} {path}"
--- a/features/steps/platform_format_steps.py
+++ b/features/steps/platform_format_steps.py
@@ -183,9 +183,10 @@
     )
     context.request = decode_request(raw)
     shared = replica_encoder.encode_shared(context.request)
-    context.sent = replica_encoder.encode_for_replica(
+    parts = replica_encoder.encode_for_replica(
         shared, "i-1", timedelta(milliseconds=412.7)
     )
+    context.sent = b"".join(parts)
 
 
 @then("method, request target, host and end-to-end headers are unchanged")
--- a/src/lovagetray/platform/_replica_codec.py
+++ b/src/lovagetray/platform/_replica_codec.py
@@ -28,11 +28,11 @@
 
 def _encode_for_replica(
     shared_parts: tuple[bytes, bytes], replica: str, time_left: timedelta
-) -> bytes:
+) -> tuple[bytes, bytes]:
     head, body = shared_parts
     milliseconds = max(1, int(time_left / _MILLISECOND))
     replica_headers = f"Deadline: {milliseconds}\r\nExpect-Instance: {replica}\r\n\r\n"
-    return head + replica_headers.encode("latin-1") + body
+    return head + replica_headers.encode("latin-1"), body
 
 
 replica_encoder = RequestEncoder(_encode_shared, _encode_for_replica)
--- a/src/lovagetray/queries/dispatch/_dispatch.py
+++ b/src/lovagetray/queries/dispatch/_dispatch.py
@@ -56,11 +56,14 @@
     encode_shared
         Returns the encoded part that is the same for all replicas.
     encode_for_replica
-        Returns the full request for one replica, given the time left for it.
+        Returns head and body of the request for one replica, given the time left for
+        it. The body is the same object for all replicas.
     """
 
     encode_shared: Callable[[CallerRequest], tuple[bytes, bytes]]
-    encode_for_replica: Callable[[tuple[bytes, bytes], str, timedelta], bytes]
+    encode_for_replica: Callable[
+        [tuple[bytes, bytes], str, timedelta], tuple[bytes, bytes]
+    ]
 
 
 class DispatchDependencies(NamedTuple):
@@ -200,6 +203,7 @@
         self.hedge_delay: timedelta | None = None
         self.hedges = 0
         self.retries = 0
+        self._abandoned = False
         # Whether a response was given up because there was no room for it.
         self.lacked_memory = False
 
--- a/src/lovagetray/targets/_channel.py
+++ b/src/lovagetray/targets/_channel.py
@@ -71,12 +71,14 @@
         Notice of the replica.
     request_id
         Id of the request, which the response may repeat.
-    payload
-        The encoded request.
+    head
+        The encoded request, or what comes before `body`.
     waiter
         Receives the outcome.
     deadline
         Monotonic time at which the replica stops working on the request.
+    body
+        Body that follows the head; a request that many replicas get has one body.
     at_most_once
         Whether the request must not be sent again if its connection breaks.
     bodiless
@@ -92,9 +94,10 @@
 
     notice: ReplicaNotice
     request_id: str
-    payload: bytes
+    head: bytes
     waiter: Waiter
     deadline: timedelta
+    body: bytes = b""
     at_most_once: bool = False
     bodiless: bool = False
     sent_at: timedelta | None = None
@@ -207,21 +210,22 @@
         self._carried_request = True
         self._parser.expect(exchange.memory, exchange.bodiless)
         exchange.sent_at = self._clock.monotonic_time()
-        payload = exchange.payload
+        parts = (exchange.head, exchange.body)
         try:
-            sent = self._socket.send_available(payload)
+            sent = self._socket.send_available(parts)
         except OSError:
             # The task that reads the connection detects its end and reports it.
             self._broken = True
             return
-        if sent < len(payload):
+        if sent < sum(map(len, parts)):
             self._sending = True
-            rest = memoryview(payload)[sent:]
-            self._sender = await spawn(self._send_rest, rest, daemon=True)
+            self._sender = await spawn(self._send_rest, parts, sent, daemon=True)
 
-    async def _send_rest(self, rest: memoryview) -> None:
+    async def _send_rest(self, parts: tuple[bytes, ...], sent: int) -> None:
         try:
-            await self._socket.sendall(rest)
+            for part in parts:
+                await self._socket.sendall(memoryview(part)[sent:])
+                sent = max(0, sent - len(part))
             self._sending = False
         except OSError:
             # The task that reads the connection detects its end and reports it.
