Don't complete a response after a reset that sending met

Cause: the kernel reports a reset once. If the task that sends the rest of a long request met it first, it dropped the error, and the reading task took the end of the connection for a regular one.

Mend: the connection notes such a reset, and its end completes no response.

--- a/features/hostile_replicas.feature
+++ b/features/hostile_replicas.feature
@@ -55,6 +55,13 @@
       | a switch of protocols            |
       | bytes that are no response       |
 
+  Scenario: A reset that the sending of a long request meets first
+    Guards against a part of a response without a length that is passed on as a complete
+    success, because the kernel reports a reset only once (review/7).
+    Given a replica that resets its connection in the middle of a response without a length
+    When a request is sent to it whose rest meets the reset first
+    Then the exchange fails with connection_lost
+
   Scenario Outline: A target of an entry instance ends its response early
     Guards against the same at the other kind of connection, which reads with h11.
     Given a replica that sends <bytes>
--- a/features/steps/hostile_replica_steps.py
+++ b/features/steps/hostile_replica_steps.py
@@ -1,13 +1,14 @@
 """Steps for connections to replicas that send faulty or endless bytes, on loopback."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from datetime import timedelta
 from random import Random
 from typing import Any
+from unittest.mock import patch
 
 from behave import given, then, when
 from behave.runner import Context
-from curio import TaskGroup, ignore_after, run, sleep
+from curio import Event, TaskGroup, ignore_after, run, sleep
 from curio.socket import AF_INET, SO_LINGER, SOCK_STREAM, SOL_SOCKET, socket
 from fakes.recording_waiter import RecordingWaiter
 from fakes.replica_script import make_notice
@@ -384,6 +385,61 @@
     run(main)
 
 
+class _ResetConnection:
+    """A connection whose reset is reported to the task that sends, and only to it."""
+
+    def __init__(self, received: bytes) -> None:
+        self._received = [received]
+        self._reset = Event()
+
+    async def __aenter__(self) -> "_ResetConnection":
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        pass
+
+    def send_available(self, parts: Sequence[bytes]) -> int:
+        return 1
+
+    async def sendall(self, data: bytes) -> None:
+        await self._reset.set()
+        raise ConnectionResetError
+
+    async def recv(self, size: int) -> bytes:
+        if self._received:
+            return self._received.pop()
+        await self._reset.wait()
+        return b""
+
+
+@given(
+    "a replica that resets its connection in the middle of a response without a length"
+)
+def reset_without_length(context: Context) -> None:
+    context.connection = _ResetConnection(_HEAD + b"Connection: close\r\n\r\nhalf")
+
+
+@when("a request is sent to it whose rest meets the reset first")
+def send_until_reset(context: Context) -> None:
+    async def connect(address: Address) -> _ResetConnection:
+        return context.connection
+
+    async def main() -> None:
+        notice = make_notice("r-1")
+        async with TaskGroup(wait=None) as group:
+            pool = ConnectionPool(
+                SystemClock(),
+                decode_reply,
+                group,
+                lambda _: ConnectionLimits(1, 1),
+                lambda _: True,
+            )
+            with patch("lovagetray.targets._channel.connect", connect):
+                await _exchange(context, pool, notice, 1)
+
+    run(main)
+
+
 def _has_moved(context: Context, notice: Any) -> bool:
     return bool(getattr(context, "moved", False)) and notice.sequence == 1
 
--- a/src/lovagetray/targets/_channel.py
+++ b/src/lovagetray/targets/_channel.py
@@ -148,6 +148,7 @@
         self._sending = False
         self._sender: Task | None = None
         self._broken = False
+        self._reset = False
         self._received_response = False
         self._established = False
         self._carried_request = False
@@ -214,8 +215,7 @@
         try:
             sent = self._socket.send_available(parts)
         except OSError:
-            # The task that reads the connection detects its end and reports it.
-            self._broken = True
+            self._note_reset()
             return
         if sent < sum(map(len, parts)):
             self._sending = True
@@ -228,8 +228,15 @@
                 sent = max(0, sent - len(part))
             self._sending = False
         except OSError:
-            # The task that reads the connection detects its end and reports it.
-            self._broken = True
+            self._note_reset()
+
+    def _note_reset(self) -> None:
+        """Note that the connection broke while a request was sent.
+
+        The task that reads the connection detects its end and reports it. To that task
+        the end looks regular, because the kernel reports a reset only once.
+        """
+        self._broken = self._reset = True
 
     async def _carry_exchanges(self, first: Exchange | None) -> None:
         if first is None or first.abandoned_at is not None:
@@ -320,6 +327,7 @@
     async def _handle_end(self, clean: bool) -> None:
         """Handle the end of the connection; `clean` if it ended without an error."""
         self._broken = True
+        clean = clean and not self._reset
         response = self._parser.end_of_connection() if clean else None
         if response is not None:
             await self._accept_reply(response)
