--- a/src/lovagetray/state/_held_bytes.py
+++ b/src/lovagetray/state/_held_bytes.py
@@ -193,10 +193,10 @@
         self._count()
 
     def keep(self, size: int) -> None:
-        """Count bytes of a complete response that is needed until `end`.
+        """Count a complete response that is needed until `end`.
 
-        The bytes that were taken for it are given back as well. A response that comes
-        after `end` is not needed.
+        This is beside the bytes that were taken while it was received, which are given
+        back. A response that comes after `end` is not needed.
         """
         if not self._ended:
             self._kept += size
--- a/src/lovagetray/wire/_caller_connection.py
+++ b/src/lovagetray/wire/_caller_connection.py
@@ -57,8 +57,8 @@
 # While a request runs, data is read only to detect the end of the connection; what a
 # caller has pipelined stays in the kernel's receive buffer.
 _PIPELINED_BYTES = 4096
-# Counted for each request beside the time for reading it; measuring it would cost as
-# much as reading a request does.
+# Counted for the work on each request. Measuring the steps of its task would make each
+# request dearer.
 _REQUEST_TIME = timedelta(microseconds=500)
 _CLOSE_TIMEOUT = timedelta(seconds=1)
 # The first request on a new connection is expected within this time; a server that
