Read bodies with a length in larger blocks

Blocks of 2 KB bound the work on a body in chunks. A body with a length is one piece for the parser, so that a configuration of 1 MB took 500 blocks, and a turn for most of them. Such a body is now read in blocks of up to 64 KB, and never beyond its end.

--- a/src/lovagetray/wire/_caller_connection.py
+++ b/src/lovagetray/wire/_caller_connection.py
@@ -47,13 +47,11 @@
     states_length,
 )
 from lovagetray.wire._closing import abort, discard_input
+from lovagetray.wire._http import receive_size
 from lovagetray.wire._processor_turns import ProcessorTurns
 from lovagetray.wire._response_sender import ResponseSender
 
 _log = get_logger()
-# Parsed at once. In chunks of one byte this takes 2 to 4 ms, for which all other tasks
-# wait.
-_RECEIVE_BYTES = 2048
 # While a request runs, data is read only to detect the end of the connection; what a
 # caller has pipelined stays in the kernel's receive buffer.
 _PIPELINED_BYTES = 4096
@@ -214,7 +212,8 @@
                 return outcome
             if self._h11.they_are_waiting_for_100_continue:
                 await self._client.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
-            data = await self._client.recv(_RECEIVE_BYTES)
+            size = receive_size(partial.head, len(partial.body))
+            data = await self._client.recv(size)
             if not self._hold_input(len(data)):
                 return MemoryExhausted()
             if not self._receiving:
--- a/src/lovagetray/wire/_http_reader.py
+++ b/src/lovagetray/wire/_http_reader.py
@@ -24,12 +24,9 @@
     RequestTooSlow,
 )
 from lovagetray.state import HeldBytes, HeldPart, ProcessorUse
-from lovagetray.wire._http import HttpRequest, describe_violation
+from lovagetray.wire._http import HttpRequest, describe_violation, receive_size
 from lovagetray.wire._processor_turns import ProcessorTurns
 
-# Parsed at once. In chunks of one byte this takes 2 to 4 ms, for which all other tasks
-# wait.
-RECEIVE_BYTES = 2048
 # Notices of replicas and address lookups are shorter; they are taken also when long
 # documents fill the memory for calls.
 UNCOUNTED_BYTES = 16 * 1024
@@ -110,7 +107,8 @@
                 return outcome
             if self._connection.they_are_waiting_for_100_continue:
                 await self._client.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
-            self._connection.receive_data(await self._client.recv(RECEIVE_BYTES))
+            size = receive_size(self._head, len(self._body))
+            self._connection.receive_data(await self._client.recv(size))
 
     def _parse(
         self, peer: tuple[str, int]
--- a/src/lovagetray/wire/_http_server.py
+++ b/src/lovagetray/wire/_http_server.py
@@ -27,9 +27,13 @@
 from lovagetray._telemetry import BOUND_ACTIONS, DOOR_CONNECTIONS
 from lovagetray._types import Address
 from lovagetray.state import HeldBytes, HeldPart, ProcessorUse
-from lovagetray.wire._http import ACCEPT_RETRY_DELAY, HttpRequest, HttpResponse
+from lovagetray.wire._http import (
+    ACCEPT_RETRY_DELAY,
+    BLOCK_BYTES,
+    HttpRequest,
+    HttpResponse,
+)
 from lovagetray.wire._http_reader import (
-    RECEIVE_BYTES,
     UNCOUNTED_BYTES,
     HttpLimits,
     HttpRequestReader,
@@ -265,7 +269,7 @@
             return False
         self._idle_tasks[task] = None
         received = await self._clock.with_timeout(
-            self._limits.idle_time, client.recv(RECEIVE_BYTES)
+            self._limits.idle_time, client.recv(BLOCK_BYTES)
         )
         self._idle_tasks.pop(task, None)
         match received:
@@ -355,7 +359,7 @@
 
 
 async def _receive_until_closed(client: Any, connection: Connection) -> None:
-    while data := await client.recv(RECEIVE_BYTES):
+    while data := await client.recv(BLOCK_BYTES):
         connection.receive_data(data)
 
 
