Let each costly call wait for a turn of its own

Cause: a new connection may use 5 ms before it waits for turns, and metrics take 5 ms and more. Connections that were closed after 5 s came back together, and up to 195 of them computed the metrics in one round of tasks.

Mend: metrics and routing documents wait for a turn whoever asks for them, so that one is handled between two rounds.

--- a/src/lovagetray/entry/_instance.py
+++ b/src/lovagetray/entry/_instance.py
@@ -70,6 +70,7 @@
 _TARGET_RETENTION = timedelta(minutes=1)
 # Exit code of an instance that has lost a task that it cannot do without.
 _EXIT_FAILED = 1
+_COSTLY_PATHS = frozenset(("/metrics",))
 _POLL_INTERVAL = timedelta(milliseconds=100)
 _RELEASE_TIMEOUT = timedelta(seconds=5)
 _LEADERSHIP_TRANSFER_TIMEOUT = timedelta(seconds=3)
@@ -121,6 +122,7 @@
                 encode_failure,
                 self._clock,
                 turns=ProcessorTurns(self._clock, self._settings.connection_share),
+                costly_paths=_COSTLY_PATHS,
             )
             events = Queue()
             for task, work in self._essential_tasks(server).items():
--- a/src/lovagetray/platform/_control_handler.py
+++ b/src/lovagetray/platform/_control_handler.py
@@ -32,6 +32,7 @@
 from lovagetray.wire import HttpRequest, HttpResponse, failure_status
 
 _log = get_logger()
+COSTLY_PATHS = frozenset(("/metrics", "/-/config/put"))
 _JSON = {"content-type": "application/json"}
 _HEARTBEAT_PATH = compile_pattern(r"/-/instances/([^/]+)/heartbeat")
 _DEREGISTER_PATH = compile_pattern(r"/-/instances/([^/]+)/deregister")
--- a/src/lovagetray/platform/run.py
+++ b/src/lovagetray/platform/run.py
@@ -15,7 +15,11 @@
 from lovagetray._types import Address
 from lovagetray.gateway import CallerFrontend, ControlServer, Gateway, GatewayFormats
 from lovagetray.platform._caller_handler import CallerHandler, encode_caller_failure
-from lovagetray.platform._control_handler import ControlHandler, encode_control_failure
+from lovagetray.platform._control_handler import (
+    COSTLY_PATHS,
+    ControlHandler,
+    encode_control_failure,
+)
 from lovagetray.platform._replica_codec import decode_reply, replica_encoder
 from lovagetray.platform._routing_document import MAX_DOCUMENT_BYTES, decode_document
 from lovagetray.platform._settings import read_settings, settings_file
@@ -78,6 +82,7 @@
         _CONTROL_LIMITS._replace(connections=gateway.bounds.control_connections),
         held=gateway.bounds.held,
         turns=turns,
+        costly_paths=COSTLY_PATHS,
     )
     frontend = CallerFrontend(
         lambda: caller_server.run(addresses.front),
--- a/src/lovagetray/wire/_http_server.py
+++ b/src/lovagetray/wire/_http_server.py
@@ -72,6 +72,9 @@
     turns
         Turns of connections that have used much processor time; by default those of
         this server alone.
+    costly_paths
+        Paths of requests that take some milliseconds; each of them waits for a turn, so
+        that many callers with one request each delay nobody else.
     """
 
     def __init__(
@@ -83,9 +86,11 @@
         cancel_on_close: bool = False,
         held: HeldBytes | None = None,
         turns: ProcessorTurns | None = None,
+        costly_paths: frozenset[str] = frozenset(),
     ) -> None:
         self._held = held or HeldBytes()
         self._turns = turns or ProcessorTurns(clock)
+        self._costly_paths = costly_paths
         self._log = RateLimitedLog(clock)
         self._handler = handler
         self._encode_failure = encode_failure
@@ -223,6 +228,8 @@
                 if bodiless:
                     # The same response as to GET, without its body.
                     request = request._replace(method="GET")
+                if request.path in self._costly_paths:
+                    await self._turns.wait()
                 handler_response = await self._turns.charge(
                     use, self._handle(client, connection, request)
                 )
--- a/src/lovagetray/wire/_processor_turns.py
+++ b/src/lovagetray/wire/_processor_turns.py
@@ -50,6 +50,11 @@
             await self._clock.sleep(timedelta(0))
         return result
 
+    async def wait(self) -> None:
+        """Return in a turn of its own, for work that is costly whoever asks for it."""
+        async with self._lock:
+            await self._clock.sleep(timedelta(0))
+
     async def charge(self, use: ProcessorUse, work: Coroutine[Any, Any, T]) -> T:
         """Return the result of work whose processor time counts for a connection."""
         result: T = await _measured(work, use, self._clock)
