--- a/features/fakes/process_memory.py
+++ b/features/fakes/process_memory.py
@@ -2,11 +2,11 @@
 
 from os import listdir, stat
 from pathlib import Path
+from resource import getpagesize
 from socket import AF_INET, AF_NETLINK, IPPROTO_TCP, SOCK_RAW, inet_aton, socket
 from struct import calcsize, pack, unpack_from
 from typing import NamedTuple
 
-_PAGE_BYTES = 4096
 # Of sock_diag(7): the query of all TCP sockets, with their memory.
 _NETLINK_SOCK_DIAG = 4
 _SOCK_DIAG_BY_FAMILY = 20
@@ -67,7 +67,7 @@
             # Closed since the descriptors were listed.
             pass
     return ProcessUse(
-        pages * _PAGE_BYTES, _socket_bytes(inodes, own_host), len(numbers)
+        pages * getpagesize(), _socket_bytes(inodes, own_host), len(numbers)
     )
 
 
--- a/features/steps/misbehaving_client_steps.py
+++ b/features/steps/misbehaving_client_steps.py
@@ -46,9 +46,7 @@
 _ZMTP_GREETING = (
     b"\xff" + bytes(8) + b"\x7f" + b"\x03\x00" + b"NULL".ljust(20, b"\0") + bytes(32)
 )
-_ZMTP_READY = (
-    b"\x04\x1c\x05READY\x0bSocket-Type\x00\x00\x00\x06DEALER"  # No further properties.
-)
+_ZMTP_READY = b"\x04\x1c\x05READY\x0bSocket-Type\x00\x00\x00\x06DEALER"
 _ZMTP_LONG_FRAME = b"\x02"
 
 
